--- /dev/null
+++ b/pinetrack/balance.py
@@ -0,0 +1,467 @@
+"""Every decision of pinetrack. Its types, events and actions stand in pinetrack/interface.py."""
+
+from __future__ import annotations
+
+import math
+import random
+import zlib
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from pinetrack.interface import (
+    NEVER_RAN, Action, Alarm, Arrived, AttemptDone, Cancel, Departed, Effect, Event, Fail, Group, ListKind,
+    Log, Outcome, Refuse, Route, Send, Server, ServerList, SetAlarm, Settings, State, StreamStarted, Watch,
+)
+
+UNKNOWN = 0.5  # payoff of a server nothing is known of
+EXPLORE = 0.05  # share of picks that go to the lower-scored of the two drawn
+SMOOTH = 0.12  # weight of the newest outcome in a payoff: quick to learn against steady
+EARN, TOKENS = 0.2, 20.0  # retry budget: tokens a first send earns, and the bucket's cap
+HEDGE_AT = 0.95  # a request slower than this percentile of its route is hedged
+BACKOFF = 1 / 64  # first wait between retry groups, as part of the aim; it doubles from there
+OUTLIER = 0.3  # a payoff below this ejects: quick to leave a bad server against patience with an unlucky one
+TRIALS = 2.0  # first ejection, in the work of one trial by each balancer sharing: rest against early return
+LIMIT = 4.0  # concurrency limit of a server, over all balancers, at first: room for large machines is learned
+ROOM, CROWD = 0.002, 0.05  # what it gains or loses by one outcome while requests wait: room against jams
+TARGET = 0.7  # share of attempts in time at which load shedding holds: use of the fleet against wasted work
+STEER = 4.0  # what a memory full of good or bad outcomes would move the share admitted by: speed against calm
+LEAST_ADMITTED = 0.1  # share still admitted at the worst: finding out that it is over against feeding a jam
+COLD_SAFETY = 0.5  # part of the told cold-start budget to use: a window can touch two turns in full
+LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
+MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
+FEWEST = 4  # servers in the smallest window: one bad server must leave a choice
+
+
+class TokenBucket:
+    """A capped budget. On retries: without one they multiply the load of an outage."""
+
+    def __init__(self, tokens: float) -> None:
+        self.tokens, self.filled_us = tokens, 0
+
+    def earn(self, amount: float, cap: float) -> None:
+        self.tokens = min(cap, self.tokens + amount)
+
+    def spend(self) -> bool:
+        self.tokens -= (allowed := self.tokens >= 1.0)
+        return allowed
+
+
+class LatencyTracker(deque[int]):
+    def percentile(self, q: float) -> int | None:
+        return sorted(self)[int(q * len(self))] if self else None
+
+
+class RouteState:
+    def __init__(self, spec: Route) -> None:
+        self.spec, self.budget, self.latency = spec, TokenBucket(1.0), LatencyTracker(maxlen=128)
+        self.patience_us = spec.aim_us or spec.deadline_us
+        self.cost_us = self.patience_us / 4  # uncrowded latency; a cautious guess until learned
+        self.samples, self.try_us = 0, 0.0  # answers learned from; how long clients wait, smoothed
+        self.due: deque[tuple[int, Attempt]] = deque()  # attempts by the time they are overdue
+        self.queues: tuple[deque[Request], deque[Request]] = (deque(), deque())  # within quota, over it
+
+
+class ServerState:
+    def __init__(self, spec: Server) -> None:
+        self.spec, self.payoff = spec, UNKNOWN
+        self.order = zlib.crc32(b"%d" % spec.id)  # its place in the order common to all balancers
+        self.in_flight = self.overdue = 0  # own attempts out, and those of them past their aim
+        self.heard_us = 0  # when an outcome last told of it
+        self.ejections = self.ejected_until_us = 0
+        self.turn, self.turn_us = -1, 0.0  # slow start: our last turn at it, and the work left in that turn
+
+    def well(self, now_us: int) -> bool:
+        return self.ejected_until_us <= now_us and not self.overdue
+
+
+class Attempt:
+    def __init__(self, server: ServerState, sent_us: int) -> None:
+        self.server, self.sent_us = server, sent_us
+        self.outcome: Outcome | None = None
+        self.alone, self.late = not server.in_flight, False
+
+
+class Request:
+    """A client's request, kept until its final answer and the last outcome of its attempts."""
+
+    def __init__(self, event: Arrived, route: RouteState, now_us: int, over: bool) -> None:
+        self.id, self.route = event.request, route
+        self.cost_us, self.over = float(event.work_us or route.cost_us), over
+        self.useful_us = event.give_up_us  # an answer after this is worth nothing
+        if route.spec.aim_us is not None and not route.spec.late_worth:
+            aim_us = route.spec.aim_us + int(route.spec.aim_stretch * self.cost_us)
+            self.useful_us = min(self.useful_us, now_us + aim_us)
+        self.attempts: list[Attempt] = []
+        self.out, self.groups, self.closed = 0, 0, False
+
+    def may_have_run(self) -> list[Attempt]:
+        return [a for a in self.attempts if a.outcome not in NEVER_RAN]
+
+
+def may_refuse(request: Request) -> bool:
+    """Rule 2: a refusal says that trying again is harmless, so nothing harmful may have run."""
+    spec = request.route.spec
+    repeatable = spec.effect is Effect.SAFE or (spec.effect is Effect.KEYED and spec.group is Group.ALL)
+    return repeatable or not request.may_have_run()
+
+
+def classify(request: Request, outcome: Outcome) -> bool:
+    """Whether an outcome is retryable: unseen work always, any failure where repeats do no harm."""
+    return outcome in NEVER_RAN or request.route.spec.effect is not Effect.UNSAFE
+
+
+class Balancer:
+    """One balancer. The same events bring the same actions; nothing is shared with any other."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.random, self.now = settings, random.Random(seed), 0
+        self.routes = [RouteState(spec) for spec in settings.routes or (Route(),)]
+        self.servers: dict[int, ServerState] = {}
+        self.candidates: list[ServerState] = []  # the ready ones, in the same order at every balancer
+        self.cold: list[ServerState] = []  # those of them that are cold
+        # A turn holds one request of the dearest route at the coldest, and is no longer than the told window.
+        safe_us = COLD_SAFETY * settings.fall_multiple * settings.cold_from * settings.fall_window_us
+        self.turn_us = settings.fall_window_us // max(1, int(safe_us / max(r.cost_us for r in self.routes)))
+        self.requests: dict[int, Request] = {}
+        self.actions: list[Action] = []
+        self.alarms: dict[int, tuple[Callable[[Any], None], Any]] = {}
+        self.tags = self.queued = self.failed_calls = 0
+        self.quotas = [TokenBucket(q) for q in settings.tenant_quotas_per_s]
+        self.span_us, self.mean_payoff = MEMORY * settings.ask_within_us, UNKNOWN
+        self.recent, self.counted_us, self.admitted = 0.0, 0, 1.0  # requests of late; share not shed
+        self.mean_cost_us = min(r.cost_us for r in self.routes)
+        self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
+        self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over route cost
+        self.limit = self.least_limit = max(1.0, LIMIT / settings.balancers)
+
+    def handle(self, now_us: int, events: list[Event]) -> list[Action]:
+        self.now, self.actions = now_us, []
+        self.count_overdue()
+        for event in events:
+            if type(event) in HANDLERS:
+                HANDLERS[type(event)](self, event)
+        if self.queued:
+            self.drain()
+        return self.actions
+
+    def alarm(self, delay_us: float, act: Callable[[Any], None], about: Any = None) -> None:
+        self.tags += 1
+        self.alarms[self.tags] = (act, about)
+        self.actions.append(SetAlarm(max(0, int(delay_us)), self.tags))
+
+    def on_alarm(self, event: Alarm) -> None:
+        act, about = self.alarms.pop(event.tag, (lambda _: None, None))
+        act(about)
+
+    def on_list(self, event: ServerList) -> None:
+        if event.kind is ListKind.FAILED:
+            # Guards against calls piling up on discovery, one service for all: waits grow, with jitter.
+            self.failed_calls = min(self.failed_calls + 1, 9)
+            wait_us = min(self.settings.ask_within_us / 4, 100_000 * 2.0**self.failed_calls)
+            return self.alarm(wait_us * (0.5 + self.random.random()), lambda _: self.actions.append(Watch()))
+        self.failed_calls = 0
+        if event.kind is ListKind.CACHED and self.settings.discovery_asks:
+            self.actions.append(Watch())
+        if event.kind is not ListKind.CHANGES:
+            self.servers = {i: self.servers[i] for i, *_ in event.servers if i in self.servers}
+        for line in event.servers:
+            known = self.servers.get(line.id)
+            if line.state is State.GONE:
+                self.servers.pop(line.id, None)
+            elif known is None or (line.started_us or 0) > (known.spec.started_us or 0):
+                self.servers[line.id] = ServerState(line)
+                self.pace.setdefault(line.kind, 0.0)
+            else:
+                known.spec = line
+        # Rule 3: a draining or departed server leaves the candidates with the event that tells of it.
+        ready = [s for s in self.servers.values() if s.spec.state is State.READY]
+        self.candidates = sorted(ready, key=lambda s: s.order)
+        self.cold = [s for s in self.candidates if self.is_cold(s)]
+
+    def on_arrived(self, event: Arrived) -> None:
+        route = self.routes[event.route]
+        self.recent = 1.0 + self.recent * math.exp((self.counted_us - self.now) / self.span_us)
+        self.counted_us = self.now
+        left_us = event.give_up_us - self.now
+        route.try_us += (left_us - route.try_us) * (SMOOTH if route.try_us else 1.0)
+        request = Request(event, route, self.now, event.repeat or self.over_quota(event.tenant))
+        self.requests[request.id] = request
+        self.mean_cost_us += (request.cost_us - self.mean_cost_us) / 64
+        weight = min(1.0, request.cost_us / self.mean_cost_us / 256)
+        self.blocking_share += (self.blocks(route) - self.blocking_share) * weight
+        # With no marks, a try that ends sooner than most by more than the aim is a repeat and has lost it.
+        lost = not self.settings.clients_mark_repeats and left_us < route.try_us - route.patience_us
+        if (lost and not route.spec.late_worth) or self.random.random() > self.admitted:
+            self.finish(request)
+        elif self.queued or not self.place(request):
+            self.enqueue(request)
+
+    def over_quota(self, tenant: int) -> bool:
+        """Whether a tenant is past its share here: its quota, split evenly over the balancers."""
+        if tenant >= len(self.quotas):
+            return False
+        rate, quota = self.settings.tenant_quotas_per_s[tenant] / self.settings.balancers, self.quotas[tenant]
+        quota.earn(rate / 1e6 * (self.now - quota.filled_us), max(1.0, rate))
+        quota.filled_us = self.now
+        return not quota.spend()
+
+    def enqueue(self, request: Request) -> None:
+        """Hold a request in the gateway. Rule 1: its alarm ends it once it can no longer meet its aim."""
+        request.route.queues[request.over].append(request)
+        self.queued += 1
+        due_us = request.useful_us - (request.route.latency.percentile(0.5) or request.cost_us)
+        self.alarm(due_us - self.now, self.shed, request)
+
+    def shed(self, request: Request) -> None:
+        if not request.closed and not request.attempts:
+            self.finish(request)
+
+    def drain(self) -> None:
+        """Send what waits as room allows: worth for cost first; over-quota tenants, marked repeats last."""
+        less = (-1.0, -self.settings.over_quota_worth)
+        parts = [(less[i] * r.spec.worth / r.cost_us, q) for r in self.routes for i, q in enumerate(r.queues)]
+        for _, queue in sorted(parts, key=lambda part: part[0]):
+            while queue:
+                if not queue[0].closed and not self.place(queue[0]):
+                    break
+                queue.popleft()
+                self.queued -= 1
+
+    def finish(self, request: Request) -> None:
+        """Rule 1: the one place that gives a final answer of our own."""
+        wait_us = self.settings.max_retry_after_us if self.settings.retry_after else 0
+        self.actions.append(Refuse(request.id, wait_us) if may_refuse(request) else Fail(request.id))
+        self.close(request)
+
+    def close(self, request: Request) -> None:
+        """Nothing is sent from here on. The first terminal outcome calls off the copies still out."""
+        if not request.closed and self.settings.cancelling:
+            self.actions += [Cancel(request.id, i) for i, a in enumerate(request.attempts) if not a.outcome]
+        request.closed = True
+        if not request.out:
+            self.requests.pop(request.id, None)
+
+    def on_departed(self, event: Departed) -> None:
+        if (request := self.requests.get(event.request)) is not None:
+            self.close(request)
+
+    def place(self, request: Request) -> bool:
+        if (server := self.pick(request)) is not None:
+            self.send(request, server)
+        return server is not None
+
+    def parallel(self, spec: Route) -> bool:
+        return self.settings.parallel_tries and spec.effect is not Effect.UNSAFE
+
+    def may_send(self, request: Request, server: ServerState) -> bool:
+        """The one gate before every send: rule 2, then 3, then 4."""
+        spec = request.route.spec
+        spent = len(request.attempts) >= self.settings.max_attempts
+        if request.closed or spent or (request.out and not self.parallel(spec)):
+            return False
+        if spec.effect is not Effect.SAFE and (ran := request.may_have_run()):
+            there, here = ran[0].server.spec, server.spec
+            same = {Group.ALL: True, Group.ZONE: there.zone == here.zone, Group.CELL: there.cell == here.cell}
+            known = same[spec.group] and self.now < ran[0].sent_us + spec.memory_span_us
+            if spec.effect is Effect.UNSAFE or not known:
+                return False
+        return server.spec.state is State.READY and self.may_warm(request, server)
+
+    def is_cold(self, s: ServerState) -> bool:
+        return bool(s.spec.started_us) and self.now < (s.spec.started_us or 0) + self.settings.cold_us
+
+    def may_warm(self, request: Request, s: ServerState) -> bool:
+        """Rule 4, slow start: balancers take turns at a cold server, by its id and start and their numbers.
+        Who has the turn may use all that is safe: an even share would be under one request."""
+        if not self.is_cold(s):
+            return True
+        told, since_us = self.settings, max(0, self.now - (s.spec.started_us or 0))
+        if ((turn := since_us // self.turn_us) + s.order) % told.balancers != told.number:
+            return False
+        warmth = told.cold_from + (1.0 - told.cold_from) * since_us / told.cold_us
+        if turn != s.turn:
+            s.turn, s.turn_us = turn, min(1.0, COLD_SAFETY * told.fall_multiple) * warmth * self.turn_us
+        return request.cost_us <= min(s.turn_us, warmth * (request.useful_us - self.now))
+
+    def pick(self, request: Request) -> ServerState | None:
+        """The design's pick: of two drawn, higher payoff / (1 + in flight) wins, 1 in 20 the lower."""
+        for s in self.cold:  # a turn unused is lost to all: guards against a fleet left cold by a deploy
+            if self.is_cold(s) and s.well(self.now) and self.open(request, s):
+                return s
+        near = self.window()  # there no lanes: only a full view tells their share of the work
+        lane, part = (self.candidates, 1.0) if near else (self.lane(request.route), LOCAL)
+        local = [s for s in near or lane if s.spec.zone == self.settings.zone]
+        pool = near or local
+        if not (a := self.draw(request, local, part) or self.draw(request, pool, part)):
+            panic = not any(s.well(self.now) for s in lane)  # guards against ejecting a whole fleet
+            pool, part = lane, 1.0
+            if not (a := self.draw(request, lane, panic=panic)):
+                return None
+        b = self.draw(request, pool, part, a) or a
+        better, worse = (a, b) if self.score(a) >= self.score(b) else (b, a)
+        return worse if self.random.random() < EXPLORE else better
+
+    def window(self) -> list[ServerState] | None:
+        """The servers to draw from: as many as own traffic keeps a fresh record of, from a place in the order
+        set by own number. Guards against knowing none of them where many balancers share a fleet."""
+        n, width, told = len(self.candidates), max(FEWEST, int(self.recent)), self.settings
+        if width >= n:
+            return None
+        ring = (self.candidates * 2)[n * told.number // told.balancers :][:n]
+        # Local ones come in by the price of a crossing, against the misses that load shedding would bear.
+        most = round(width * min(LOCAL, told.price_cross_zone / (1.0 - TARGET)))
+        local = [s for s in ring if s.spec.zone == told.zone][:most]
+        return local + [s for s in ring if s not in local][: width - len(local)]
+
+    def draw(self, request: Request, pool: list[ServerState], part: float = 1.0,
+             other: ServerState | None = None, panic: bool = False) -> ServerState | None:
+        """The first server with room from a random place on; one tried before only if there is no other."""
+        n, tried = len(pool), [a.server for a in request.attempts]
+        start = int(self.random.random() * n)
+        if len(self.pace) > 1 and 0 < n < len(self.candidates):
+            # Drawn by the speed of its kind: in a window too few are in flight for the discount to tell.
+            start = self.random.choices(range(n), [2.0 ** -self.pace[s.spec.kind] for s in pool])[0]
+        for i in range(start, start + n):
+            s = pool[i % n]
+            fresh = s not in tried or (len(self.candidates) == 1 and not request.out)
+            if s is not other and fresh and (panic or s.well(self.now)) and self.open(request, s, part):
+                return s
+        return None
+
+    def open(self, request: Request, s: ServerState, part: float = 1.0) -> bool:
+        return s.in_flight + 1 <= max(1.0, part * self.limit) and self.may_send(request, s)
+
+    def blocks(self, route: RouteState) -> bool:
+        """Whether a route's requests run longer than another's aim: short ones behind them miss theirs."""
+        return route.samples > 0 and route.cost_us > min(r.patience_us for r in self.routes)
+
+    def lane(self, route: RouteState) -> list[ServerState]:
+        """Blocking requests keep to a part of the common order in proportion to their part of the work."""
+        n = len(self.candidates)
+        k = min(n - 1, max(1, round(n * self.blocking_share))) if n > 1 and self.blocking_share > 0.0 else 0
+        return (self.candidates[:k] or self.candidates) if self.blocks(route) else self.candidates[k:]
+
+    def score(self, s: ServerState) -> float:
+        crossing = self.settings.price_cross_zone * (s.spec.zone != self.settings.zone)
+        return (self.payoff(s) - crossing) / (1.0 + s.in_flight / self.limit)
+
+    def send(self, request: Request, server: ServerState) -> None:
+        route, attempt = request.route, Attempt(server, self.now)
+        if not request.attempts:
+            # None saves more than it earns of late: guards against many buckets that together hold a storm.
+            route.budget.earn(EARN, max(1.0, min(TOKENS, EARN * self.recent)))
+        request.attempts.append(attempt)
+        request.out += 1
+        server.in_flight += 1
+        server.turn_us -= request.cost_us
+        route.due.append((self.now + route.patience_us, attempt))
+        self.actions.append(Send(request.id, server.spec.id))
+        if self.parallel(route.spec) and (wait_us := route.latency.percentile(HEDGE_AT)) is not None:
+            self.alarm(wait_us, self.hedge, request)
+
+    def hedge(self, request: Request) -> None:
+        """A second copy of a slow request; it spends a token, and sheds itself where others wait."""
+        wanted = not request.closed and request.out == 1 and not self.queued
+        if wanted and (server := self.pick(request)) is not None and request.route.budget.spend():
+            self.send(request, server)
+
+    def on_done(self, event: AttemptDone) -> None:
+        request = self.requests.get(event.request)
+        if request is None or (attempt := request.attempts[event.attempt]).outcome is not None:
+            return
+        attempt.outcome = event.outcome
+        request.out -= 1
+        self.learn(request.route, attempt, event)
+        if event.closed or event.outcome is Outcome.SUCCESS or request.closed:
+            self.close(request)
+        elif not request.out:  # a retry group ended without an answer: attempts, classifier and budget decide
+            left = len(request.attempts) < self.settings.max_attempts
+            again = left and classify(request, event.outcome) and request.route.budget.spend()
+            (self.back_off if again else self.finish)(request)
+
+    def back_off(self, request: Request) -> None:
+        """Waits grow between retry groups; spent time ends the request."""
+        wait_us = request.route.patience_us * BACKOFF * 2.0**request.groups * (0.5 + self.random.random())
+        request.groups += 1
+        if self.now + wait_us + request.cost_us < request.useful_us:
+            self.alarm(wait_us, self.send_again, request)
+        else:
+            self.finish(request)
+
+    def send_again(self, request: Request) -> None:
+        """With no room it waits again, not in the queue, where it could block those that may go anywhere."""
+        if not request.closed and not self.place(request):
+            self.back_off(request)
+
+    def on_stream(self, event: StreamStarted) -> None:
+        if (request := self.requests.get(event.request)) is not None:
+            request.closed = True  # the answer is the client's now
+
+    def learn(self, route: RouteState, attempt: Attempt, event: AttemptDone) -> None:
+        """What an outcome says of its server, its kind and its route."""
+        s, outcome = attempt.server, event.outcome
+        s.overdue, s.in_flight = s.overdue - attempt.late, s.in_flight - 1
+        if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
+            return
+        if outcome is Outcome.SUCCESS:
+            s.ejections = 0
+            pace = math.log2(max(event.elapsed_us / route.cost_us, 0.01))
+            self.pace[s.spec.kind] += (pace - self.pace[s.spec.kind]) * SMOOTH
+            route.samples += 1
+            if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
+                route.cost_us += (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
+            aim_us = route.spec.aim_us or route.latency.percentile(0.5) or event.elapsed_us
+            route.latency.append(event.elapsed_us)
+            if event.elapsed_us <= aim_us:
+                return self.credit(s, 1.0)
+        if not attempt.late:
+            self.blame(s)
+
+    def count_overdue(self) -> None:
+        """An attempt out past its aim counts zero at once; guards against servers that go silent."""
+        for route in self.routes:
+            while route.due and route.due[0][0] <= self.now:
+                attempt = route.due.popleft()[1]
+                if attempt.outcome is None:
+                    attempt.late = True
+                    attempt.server.overdue += 1
+                    self.blame(attempt.server)
+
+    def freshness(self, s: ServerState) -> float:
+        return math.exp(min(0, s.heard_us - self.now) / self.span_us)
+
+    def payoff(self, s: ServerState) -> float:
+        """What is known of a server, less sure with age: it fades to the mean of all, and so does blame."""
+        return self.mean_payoff + (s.payoff - self.mean_payoff) * self.freshness(s)
+
+    def credit(self, s: ServerState, worth: float) -> None:
+        """One outcome; of a server seen seldom it says much. Load shedding: the share admitted falls while
+        too few attempts meet their aim; guards against jams that no limit of one balancer can bound."""
+        step = STEER / max(1.0 / SMOOTH, self.recent)
+        self.admitted = min(1.0, max(LEAST_ADMITTED, self.admitted + (worth - TARGET) * step))
+        if self.queued:
+            self.limit = max(self.least_limit, self.limit * (1.0 + (ROOM if worth else -CROWD)))
+        known, weight = self.payoff(s), max(SMOOTH, 1.0 - self.freshness(s))
+        s.payoff, s.heard_us = known + (worth - known) * weight, self.now
+        self.mean_payoff += (worth - self.mean_payoff) * SMOOTH
+
+    def blame(self, s: ServerState) -> None:
+        """Count an outcome as zero; outlier ejection of a server that keeps failing, for longer each time."""
+        self.credit(s, 0.0)
+        if s.payoff >= OUTLIER or s.ejected_until_us > self.now:
+            return
+        # Guards against the trials of all that share a server jamming what they test.
+        sharing = self.settings.balancers * min(1.0, self.recent / max(1, len(self.candidates)))
+        first_us = max(TRIALS * sharing * self.mean_cost_us, *(r.spec.deadline_us for r in self.routes))
+        wait_us = int(first_us * min(4, 2**s.ejections))
+        s.ejections += 1
+        s.ejected_until_us = s.heard_us = self.now + wait_us
+        s.payoff = UNKNOWN
+        self.actions.append(Log(f"eject server={s.spec.id} for_ms={wait_us // 1000}"))
+
+
+HANDLERS: dict[type, Callable[[Balancer, Any], None]] = {
+    ServerList: Balancer.on_list, Arrived: Balancer.on_arrived, Departed: Balancer.on_departed,
+    AttemptDone: Balancer.on_done, StreamStarted: Balancer.on_stream, Alarm: Balancer.on_alarm,
+}
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,96 @@
+"""A small stage for the balancer: settings, servers and a clock, no network and no bench."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pinetrack.balance import Balancer
+from pinetrack.interface import (
+    Action,
+    Alarm,
+    Arrived,
+    AttemptDone,
+    Effect,
+    Event,
+    ListKind,
+    Outcome,
+    Route,
+    Send,
+    Server,
+    ServerList,
+    SetAlarm,
+    Settings,
+)
+
+AIM_US = 200_000
+DEADLINE_US = 1_000_000
+
+
+def route(effect: Effect = Effect.SAFE, **changes: Any) -> Route:
+    values: dict[str, Any] = {"aim_us": AIM_US, "deadline_us": DEADLINE_US, "memory_span_us": 2_000_000}
+    values.update(changes)
+    return Route(name="r", effect=effect, **values)
+
+
+def settings(*routes: Route, **changes: Any) -> Settings:
+    values: dict[str, Any] = {"cancelling": True, "max_attempts": 4}
+    values.update(changes)
+    return Settings(routes=routes or (route(),), **values)
+
+
+class Stage:
+    """Feeds one balancer, keeps its alarms and remembers what it did."""
+
+    def __init__(self, told: Settings, servers: int | list[Server] = 4, seed: int = 7) -> None:
+        self.now = 1_000_000
+        self.balancer = Balancer(told, seed)
+        self.told = told
+        self.log: list[Action] = []
+        self.timers: list[tuple[int, int]] = []
+        self.sends: dict[int, list[int]] = {}
+        self.next = 0
+        listed = [Server(100 + i) for i in range(servers)] if isinstance(servers, int) else servers
+        self.feed(ServerList(ListKind.CACHED, tuple(listed)))
+
+    def feed(self, *events: Event) -> list[Action]:
+        actions = self.balancer.handle(self.now, list(events))
+        self.log += actions
+        for action in actions:
+            if isinstance(action, SetAlarm):
+                self.timers.append((self.now + action.delay_us, action.tag))
+            elif isinstance(action, Send):
+                self.sends.setdefault(action.request, []).append(action.server)
+        return actions
+
+    def pass_time(self, us: int) -> list[Action]:
+        """Let time pass and deliver the alarms that fall due, each at its time."""
+        end, seen = self.now + us, len(self.log)
+        while True:
+            due = min((t for t in self.timers if t[0] <= end), default=None)
+            if due is None:
+                break
+            self.timers.remove(due)
+            self.now = max(self.now, due[0])
+            self.feed(Alarm(due[1]))
+        self.now = end
+        return self.log[seen:]
+
+    def arrive(self, route: int = 0, give_up_us: int = DEADLINE_US, **more: Any) -> int:
+        self.next += 1
+        self.feed(Arrived(self.next, route, self.now + give_up_us, **more))
+        return self.next
+
+    def done(
+        self, request: int, outcome: Outcome, elapsed_us: int = 10_000, attempt: int | None = None
+    ) -> list[Action]:
+        number = len(self.sends[request]) - 1 if attempt is None else attempt
+        closed = outcome is Outcome.SUCCESS
+        return self.feed(AttemptDone(request, number, outcome, elapsed_us, closed))
+
+    def warm_up(self, count: int = 200, elapsed_us: int = 10_000, route: int = 0) -> None:
+        """Teach the balancer what a healthy day looks like."""
+        for _ in range(count):
+            request = self.arrive(route)
+            self.pass_time(elapsed_us)
+            if request in self.sends:
+                self.done(request, Outcome.SUCCESS, elapsed_us)
--- /dev/null
+++ b/tests/rulecheck.py
@@ -0,0 +1,158 @@
+"""An independent checker of the four rules. It sees settings, events and actions only."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from pinetrack.interface import (
+    Action,
+    Arrived,
+    AttemptDone,
+    Cancel,
+    Departed,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    Outcome,
+    Refuse,
+    Route,
+    Send,
+    Server,
+    ServerList,
+    Settings,
+    State,
+)
+
+PROVES_NOTHING_RAN = {"full", "connect_failed", "moot"}
+
+
+@dataclass
+class Sent:
+    at_us: int
+    server: Server
+    outcome: Outcome | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.outcome is None or self.outcome.value not in PROVES_NOTHING_RAN
+
+
+@dataclass
+class Case:
+    route: Route
+    give_up_us: int
+    ended: bool = False
+    sent: list[Sent] = field(default_factory=list)
+
+
+class RuleBroken(AssertionError):
+    pass
+
+
+class Checker:
+    """Feed it every batch, its actions after it; it raises RuleBroken at the first breach."""
+
+    def __init__(self, told: Settings, work_us: int) -> None:
+        self.told = told
+        self.work_us = work_us  # true work of a request, on a core of a cold server's kind
+        self.cases: dict[int, Case] = {}
+        self.told_ended: list[int] = []  # in this batch; a send in its reply is no breach yet
+        self.known: dict[int, Server] = {}
+        self.told_off: dict[int, int] = {}
+        self.cold_sends: dict[tuple[int, int], list[int]] = {}
+
+    def before(self, now_us: int, events: list[Event]) -> None:
+        for event in events:
+            if isinstance(event, ServerList):
+                self._list(now_us, event)
+            elif isinstance(event, Arrived):
+                self.cases[event.request] = Case(self.told.routes[event.route], event.give_up_us)
+            elif isinstance(event, Departed):
+                self.told_ended.append(event.request)
+            elif isinstance(event, AttemptDone):
+                case = self.cases[event.request]
+                case.sent[event.attempt].outcome = event.outcome
+                if event.closed:
+                    self.told_ended.append(event.request)
+
+    def _list(self, now_us: int, event: ServerList) -> None:
+        if event.kind is ListKind.FAILED:
+            return
+        listed = {line.id: line for line in event.servers}
+        if event.kind is not ListKind.CHANGES:
+            for gone in set(self.known) - set(listed):
+                self.told_off.setdefault(gone, now_us)
+        for number, line in listed.items():
+            self.known[number] = line
+            if line.state is State.READY:
+                self.told_off.pop(number, None)
+            else:
+                self.told_off.setdefault(number, now_us)
+
+    def after(self, now_us: int, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(now_us, action)
+            elif isinstance(action, Refuse | Fail):
+                self._end(now_us, action)
+            elif isinstance(action, Cancel):
+                assert action.attempt < len(self.cases[action.request].sent)
+        for number in self.told_ended:
+            self.cases[number].ended = True
+        self.told_ended = []
+        for number, case in self.cases.items():
+            if not case.ended and now_us > case.give_up_us + self.told.answer_slack_us:
+                raise RuleBroken(f"1: request {number} has no final answer in time")
+
+    def _end(self, now_us: int, action: Refuse | Fail) -> None:
+        case = self.cases[action.request]
+        if case.ended:
+            return
+        if isinstance(action, Refuse) and any(s.may_have_run for s in case.sent):
+            spec = case.route
+            if spec.effect is Effect.UNSAFE or (spec.effect is Effect.KEYED and spec.group is not Group.ALL):
+                raise RuleBroken(f"2: request {action.request} refused though it may have run")
+        case.ended = True
+
+    def _send(self, now_us: int, action: Send) -> None:
+        case, spec = self.cases[action.request], self.cases[action.request].route
+        server = self.known[action.server]
+        if case.ended:
+            raise RuleBroken(f"1: request {action.request} sent after its end")
+        if len(case.sent) >= self.told.max_attempts:
+            raise RuleBroken(f"attempts: request {action.request}")
+        if any(s.outcome is None for s in case.sent) and not self.told.parallel_tries:
+            raise RuleBroken(f"2: request {action.request} out twice")
+        for earlier in [s for s in case.sent if s.may_have_run]:
+            if spec.effect is Effect.UNSAFE:
+                raise RuleBroken(f"2: unsafe request {action.request} sent again")
+            if spec.effect is Effect.KEYED:
+                same = {
+                    Group.ALL: True,
+                    Group.ZONE: earlier.server.zone == server.zone,
+                    Group.CELL: earlier.server.cell == server.cell,
+                }[spec.group]
+                if not same or now_us >= earlier.at_us + spec.memory_span_us:
+                    raise RuleBroken(f"2: keyed request {action.request} sent outside its group or time")
+        told_off = self.told_off.get(action.server)
+        if told_off is not None and now_us > told_off + self.told.drain_grace_us:
+            raise RuleBroken(f"3: server {action.server} sent to after its drain")
+        case.sent.append(Sent(now_us, server))
+        self._cold(now_us, server)
+
+    def _cold(self, now_us: int, server: Server) -> None:
+        started = server.started_us
+        if not started or now_us >= started + self.told.cold_us:
+            return
+        sends = self.cold_sends.setdefault((server.id, started), [])
+        sends.append(now_us)
+        window = self.told.fall_window_us
+        work = self.work_us * sum(1 for t in sends if t > now_us - window)
+        warmth = (
+            self.told.cold_from
+            + (1 - self.told.cold_from) * max(0, now_us - window - started) / self.told.cold_us
+        )
+        if work > self.told.fall_multiple * warmth * window:
+            raise RuleBroken(f"4: cold server {server.id} sent more than its budget by one balancer alone")
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,525 @@
+"""The parts of the module, each on its own."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pinetrack import balance
+from pinetrack.interface import (
+    Arrived,
+    AttemptDone,
+    Cancel,
+    Departed,
+    Effect,
+    Fail,
+    Group,
+    ListKind,
+    Outcome,
+    Refuse,
+    Send,
+    Server,
+    ServerList,
+    SetAlarm,
+    Settings,
+    State,
+    Watch,
+)
+from tests.helpers import AIM_US, DEADLINE_US, Stage, route, settings
+
+MODULE = Path(balance.__file__)
+
+
+def test_module_fits_the_on_call_folder() -> None:
+    lines = [line for line in MODULE.read_text().splitlines() if line.strip()]
+    assert len(lines) <= 400
+    assert max(map(len, lines)) <= 110
+    assert "pinetrack/interface.py" in lines[0]
+
+
+def test_bucket_is_capped_and_spends_whole_tokens() -> None:
+    bucket = balance.TokenBucket(5.0)
+    while bucket.spend():
+        pass
+    assert bucket.tokens < 1
+    for _ in range(10_000):
+        bucket.earn(balance.EARN, balance.TOKENS)
+    assert bucket.tokens == balance.TOKENS
+
+
+def test_tracker_is_bounded_and_orders() -> None:
+    tracker = balance.LatencyTracker(maxlen=128)
+    assert tracker.percentile(0.5) is None
+    for value in range(1000):
+        tracker.append(value)
+    assert len(tracker) == 128
+    assert tracker.percentile(0.95) in range(970, 1000)
+
+
+def test_with_no_class_told_everything_is_one_unsafe_route() -> None:
+    stage = Stage(Settings(), 3)
+    request = stage.arrive()
+    stage.done(request, Outcome.ERROR)
+    assert len(stage.sends[request]) == 1
+    assert stage.log[-1] == Fail(request)
+
+
+def test_a_better_payoff_wins_and_passed_over_servers_are_still_tried() -> None:
+    stage = Stage(settings(), 2)
+    stage.warm_up(50)
+    good, bad = stage.balancer.candidates
+    good.payoff, bad.payoff = 1.0, 0.4
+    for _ in range(300):
+        request = stage.arrive()
+        bad.payoff = 0.4
+        stage.done(request, Outcome.SUCCESS)
+    counts = Counter(servers[0] for servers in list(stage.sends.values())[-300:])
+    assert 3 <= counts[bad.spec.id] <= 40
+
+
+def test_waits_grow_between_retry_groups() -> None:
+    stage = Stage(settings(route(aim_us=900_000), max_attempts=4), 6)
+    request = stage.arrive()
+    stage.balancer.routes[0].budget.tokens = 9.0
+    waits = []
+    for _ in range(3):
+        actions = stage.done(request, Outcome.ERROR, 1000)
+        waits += [a.delay_us for a in actions if isinstance(a, SetAlarm)]
+        stage.pass_time(300_000)
+    assert len(stage.sends[request]) == len(set(stage.sends[request])) == 4
+    assert waits[0] * 1.2 < waits[2]
+
+
+def test_retries_dry_up_with_the_bucket_when_every_server_errs() -> None:
+    stage = Stage(settings(), 5)
+    for _ in range(400):
+        request = stage.arrive()
+        for _ in range(4):
+            if len(stage.sends.get(request, [])) and request in stage.balancer.requests:
+                stage.done(request, Outcome.ERROR, 1000)
+            stage.pass_time(10_000)
+    attempts = sum(map(len, stage.sends.values()))
+    stage.pass_time(2_000_000)
+    assert not stage.balancer.requests
+    assert len(stage.sends) >= 400 * balance.LEAST_ADMITTED / 2  # the pick falls back to the whole fleet
+    assert attempts <= len(stage.sends) * (1 + balance.EARN) + 2
+
+
+def test_hedge_goes_out_once_and_the_loser_is_called_off() -> None:
+    stage = Stage(settings(parallel_tries=True), 4)
+    for elapsed_us in range(4000, 6000, 20):
+        stage.done(stage.arrive(), Outcome.SUCCESS, elapsed_us)
+    request = stage.arrive()
+    stage.pass_time(50_000)
+    assert len(stage.sends[request]) == 2
+    actions = stage.done(request, Outcome.SUCCESS, 50_000, attempt=1)
+    assert Cancel(request, 0) in actions
+    stage.feed(AttemptDone(request, 0, Outcome.CANCELLED, 50_000, True))
+    assert request not in stage.balancer.requests
+
+
+@pytest.mark.parametrize("told", [settings(route(Effect.UNSAFE), parallel_tries=True), settings(route())])
+def test_no_hedge_for_unsafe_routes_or_where_one_attempt_is_the_limit(told: Settings) -> None:
+    stage = Stage(told, 4)
+    stage.warm_up(100, 5000)
+    request = stage.arrive()
+    stage.pass_time(150_000)
+    assert len(stage.sends[request]) == 1
+
+
+def test_a_draining_or_gone_server_gets_nothing_new_at_once() -> None:
+    stage = Stage(settings(), 3)
+    stage.feed(
+        ServerList(ListKind.CHANGES, (Server(100, State.DRAINING), Server(101, State.GONE))),
+    )
+    for _ in range(20):
+        stage.done(stage.arrive(), Outcome.SUCCESS)
+    assert {s for servers in stage.sends.values() for s in servers} == {102}
+
+
+def test_empty_list_holds_requests_then_refuses_them() -> None:
+    stage = Stage(settings(route(Effect.UNSAFE)), 0)
+    request = stage.arrive()
+    assert not stage.sends
+    assert Refuse(request) in stage.pass_time(AIM_US)
+    held = stage.arrive()
+    stage.feed(ServerList(ListKind.FULL, (Server(7),)))
+    assert stage.sends[held] == [7]
+
+
+def test_unsafe_is_retried_only_when_it_never_ran() -> None:
+    for outcome, again in [
+        (Outcome.FULL, True),
+        (Outcome.CONNECT_FAILED, True),
+        (Outcome.ERROR, False),
+        (Outcome.RESET, False),
+        (Outcome.TIMEOUT, False),
+    ]:
+        stage = Stage(settings(route(Effect.UNSAFE)), 4)
+        request = stage.arrive()
+        stage.done(request, outcome, 1000)
+        stage.pass_time(100_000)
+        assert len(stage.sends[request]) == (2 if again else 1)
+        assert (Fail(request) in stage.log) is not again
+
+
+def test_keyed_stays_in_its_group_and_within_the_memory_span() -> None:
+    servers = [Server(100 + i, cell=i % 2) for i in range(6)]
+    keyed = route(Effect.KEYED, group=Group.CELL, aim_us=900_000, memory_span_us=300_000)
+    stage = Stage(settings(keyed), servers)
+    request = stage.arrive()
+    stage.balancer.routes[0].budget.tokens = 9.0
+    stage.done(request, Outcome.ERROR, 1000)
+    stage.pass_time(60_000)
+    first, second = stage.sends[request]
+    assert first != second and first % 2 == second % 2
+    stage.pass_time(400_000)
+    stage.done(request, Outcome.ERROR, 1000)
+    assert Fail(request) in stage.pass_time(600_000)
+    assert len(stage.sends[request]) == 2
+
+
+def test_cold_server_gets_no_more_than_its_share_in_any_window() -> None:
+    told = settings(
+        balancers=2, cold_us=10_000_000, cold_from=0.2, fall_multiple=2.0, fall_window_us=1_000_000
+    )
+    stage = Stage(told, 0)
+    stage.now = 50_000_000
+    started = stage.now - 200_000
+    stage.feed(ServerList(ListKind.CACHED, (Server(1, started_us=started), Server(2))))
+    times: list[int] = []
+    for _ in range(1500):
+        request = stage.arrive()
+        if stage.sends.get(request) == [1]:
+            times.append(stage.now)
+        stage.pass_time(4000)
+        if request in stage.sends:
+            stage.done(request, Outcome.SUCCESS, 4000)
+    assert times
+    for t in times:
+        warmth = 0.2 + 0.8 * (t - started) / 10_000_000
+        # one core's worth of 4 ms requests, our half of it
+        assert sum(1 for u in times if t - 1_000_000 < u <= t) <= 2.0 * warmth * 1_000_000 / 4000 / 2
+
+
+def test_a_silent_server_is_left_alone_before_its_attempts_time_out() -> None:
+    stage = Stage(settings(route(Effect.UNSAFE)), 3)
+    stage.warm_up(100)
+    silent = 101
+    for _ in range(200):
+        request = stage.arrive()
+        stage.pass_time(10_000)
+        if stage.sends[request] != [silent]:
+            stage.done(request, Outcome.SUCCESS, 10_000)
+    late = list(stage.sends.values())[-150:]
+    assert sum(s == [silent] for s in late) <= 2
+
+
+def test_long_requests_keep_to_servers_of_their_own_at_every_balancer() -> None:
+    short, long = route(aim_us=100_000), route(aim_us=2_000_000, deadline_us=4_000_000)
+    used: list[set[int]] = []
+    for seed in (1, 2):
+        stage = Stage(settings(short, long), 6, seed)
+        lanes: tuple[set[int], set[int]] = (set(), set())
+        for turn in range(150):
+            for kind, count, elapsed_us in ((0, 30, 10_000), (1, 1, 300_000)):
+                stage.warm_up(count, elapsed_us, kind)
+                if turn > 100:
+                    lanes[kind].update(s[0] for s in list(stage.sends.values())[-count:])
+        assert lanes[1] and not lanes[0] & lanes[1]
+        used.append(lanes[1])
+    assert used[0] & used[1]
+
+
+def test_discovery_is_asked_again_with_growing_jittered_waits() -> None:
+    stage = Stage(settings(discovery_asks=True), 2)
+    assert Watch(True) in stage.log
+    waits = []
+    for _ in range(6):
+        actions = stage.feed(ServerList(ListKind.FAILED))
+        waits += [a.delay_us for a in actions if isinstance(a, SetAlarm)]
+        assert Watch(True) in stage.pass_time(10_000_000)
+    assert waits[0] < 500_000 and waits[4] > waits[0] * 3
+    assert all(w <= 10_000_000 / 2 for w in waits)
+
+
+def test_late_events_do_no_harm() -> None:
+    stage = Stage(settings(), 2)
+    request = stage.arrive()
+    stage.done(request, Outcome.SUCCESS)
+    assert stage.feed(AttemptDone(request, 0, Outcome.SUCCESS, 1, True)) == []
+    assert stage.feed(AttemptDone(999, 0, Outcome.ERROR, 1)) == []
+    other = stage.arrive()
+    stage.feed(ServerList(ListKind.FULL, ()))
+    assert isinstance(stage.done(other, Outcome.ERROR)[0], SetAlarm)
+    assert Refuse(other) in stage.pass_time(1_000_000)
+
+
+def test_sends_stop_at_the_final_answer() -> None:
+    stage = Stage(settings(), 1)
+    request = stage.arrive()
+    while request in stage.balancer.requests:
+        stage.done(request, Outcome.ERROR)
+        stage.pass_time(300_000)
+    ends = [a for a in stage.log if isinstance(a, Refuse | Fail)]
+    assert len(ends) == 1
+    assert not any(isinstance(a, Send) for a in stage.log[stage.log.index(ends[0]) :])
+
+
+def test_a_jam_does_not_become_the_yardstick_of_cost() -> None:
+    """Incidents i46ffc5 and id5e42c: limits grew to many times the start as the jam itself was learned."""
+    stage = Stage(settings(), 3)
+    stage.warm_up(300, 10_000)
+    route_state = stage.balancer.routes[0]
+    before = route_state.cost_us
+    stage.warm_up(60, 100_000)
+    assert route_state.cost_us < 3 * before
+
+
+def test_the_limit_grows_only_while_requests_wait_and_nearly_all_are_in_time() -> None:
+    balancer = Stage(settings(), 3).balancer
+    server, start = balancer.candidates[0], balancer.limit
+    for _ in range(500):
+        balancer.credit(server, 1.0)
+    assert balancer.limit == start
+    balancer.queued = 1
+    for _ in range(500):
+        balancer.credit(server, 1.0)
+    assert balancer.limit > 2 * start
+    for _ in range(200):
+        balancer.credit(server, 0.0)
+    assert balancer.limit == start
+
+
+def many(**changes: Any) -> Settings:
+    """One balancer of many on a large fleet, with a little of the traffic."""
+    return settings(**{"balancers": 400, "number": 100, **changes})
+
+
+def fleet(count: int = 60, **changes: Any) -> list[Server]:
+    return [Server(100 + i, zone=i % 3, cell=i // 4, **changes) for i in range(count)]
+
+
+def test_with_little_traffic_a_balancer_keeps_to_a_window() -> None:
+    """Ljubljana quiet, d6d89745: 66 balancers that know nothing of most servers choked three of them."""
+    used: list[set[int]] = []
+    for number in (0, 200):
+        stage = Stage(many(number=number), fleet())
+        for _ in range(100):
+            request = stage.arrive()
+            stage.pass_time(150_000)
+            stage.done(request, Outcome.SUCCESS, 10_000)
+        used.append({s for sent in stage.sends.values() for s in sent})
+    assert all(len(servers) <= 16 for servers in used)
+    assert not used[0] & used[1]
+
+
+def test_windows_cover_the_fleet_evenly() -> None:
+    counts: Counter[int] = Counter()
+    for number in range(120):
+        balancer = Stage(many(balancers=120, number=number), fleet()).balancer
+        counts.update(s.spec.id for s in balancer.window() or [])
+    assert len(counts) == 60 and max(counts.values()) == min(counts.values())
+
+
+def test_a_balancer_with_all_the_traffic_draws_from_the_whole_fleet() -> None:
+    stage = Stage(many(), fleet())
+    stage.warm_up(300, 1_000)
+    assert stage.balancer.window() is None
+
+
+def test_in_a_window_no_lane_is_kept_for_long_requests() -> None:
+    """Estado big-2: a blocking lane of one server, the same at all, drew 150 of 363 balancers in 3 s."""
+    short, long = route(aim_us=100_000), route(aim_us=2_000_000, deadline_us=4_000_000)
+    stage = Stage(Settings(routes=(short, long), balancers=400, number=100), fleet())
+    stage.balancer.blocking_share = 0.01
+    stage.balancer.routes[1].cost_us, stage.balancer.routes[1].samples = 300_000.0, 9
+    for _ in range(40):
+        request = stage.arrive(1)
+        stage.pass_time(200_000)
+        stage.done(request, Outcome.SUCCESS, 150_000)
+    assert len({s for sent in stage.sends.values() for s in sent}) >= 3
+
+
+def test_in_a_window_the_slow_kind_is_drawn_less() -> None:
+    """Estado big-2: at even shares a slow kind choked while the fast one idled."""
+    stage = Stage(many(), [s._replace(kind=s.id % 2) for s in fleet()])
+    for _ in range(150):
+        request = stage.arrive()
+        stage.pass_time(150_000)
+        if request in stage.sends:
+            stage.done(request, Outcome.SUCCESS, 90_000 if stage.sends[request][0] % 2 else 10_000)
+    late = Counter(sent[0] % 2 for sent in list(stage.sends.values())[-100:])
+    assert late[1] < late[0] / 2
+
+
+def test_an_empty_list_after_two_kinds_holds_no_fault() -> None:
+    stage = Stage(many(), [s._replace(kind=s.id % 2) for s in fleet()])
+    stage.feed(ServerList(ListKind.FULL, ()))
+    request = stage.arrive()
+    assert Refuse(request) in stage.pass_time(2_000_000)
+
+
+def test_one_outcome_of_a_server_seldom_seen_says_much_and_fades() -> None:
+    balancer = Stage(many(), fleet()).balancer
+    server = balancer.candidates[0]
+    balancer.mean_payoff = 0.9
+    balancer.now += 10_000_000
+    balancer.credit(server, 0.0)
+    assert balancer.payoff(server) < 0.1
+    balancer.now += 10_000_000
+    assert balancer.payoff(server) > 0.7
+
+
+def test_a_gateway_whose_attempts_fail_sheds_load_and_recovers() -> None:
+    """Duluth big-1, b4c271b7: under a shared slow-down all requests were sent and none answered in time."""
+    balancer = Stage(settings(), 3).balancer
+    server = balancer.candidates[0]
+    for _ in range(20):
+        balancer.credit(server, 0.0)
+    assert balancer.admitted == balance.LEAST_ADMITTED
+    for _ in range(20):
+        balancer.credit(server, 1.0)
+    assert balancer.admitted == 1.0
+
+
+def test_shed_requests_are_refused_before_they_cost_work() -> None:
+    stage = Stage(settings(), 3)
+    stage.balancer.admitted = 0.0
+    request = stage.arrive()
+    assert request not in stage.sends and stage.log[-1] == Refuse(request)
+
+
+def test_many_small_retry_budgets_hold_no_storm() -> None:
+    """Ljubljana big-2, first 5 s: 441 full buckets sent 981 attempts at one full server of a pod of two."""
+    stage = Stage(many(), fleet())
+    for _ in range(50):
+        request = stage.arrive()
+        stage.pass_time(150_000)
+        stage.done(request, Outcome.SUCCESS)
+    assert stage.balancer.routes[0].budget.tokens < 4
+
+
+def test_the_first_ejection_lasts_for_the_trials_of_all_that_share_the_server() -> None:
+    alone, shared = Stage(settings(), 4).balancer, Stage(many(), fleet()).balancer
+    for balancer in (alone, shared):
+        balancer.recent = 30.0
+        for _ in range(12):
+            balancer.blame(balancer.candidates[0])
+    lasts = [b.candidates[0].ejected_until_us - b.now for b in (alone, shared)]
+    assert lasts[0] == DEADLINE_US and lasts[1] > 3 * DEADLINE_US
+
+
+def test_crossing_zones_is_worth_its_price_only() -> None:
+    stage = Stage(many(price_cross_zone=0.1), fleet())
+    here, there = (next(s for s in stage.balancer.candidates if s.spec.zone == z) for z in (0, 1))
+    assert stage.balancer.score(here) > stage.balancer.score(there)
+    here.payoff, here.heard_us = 0.3, stage.now
+    assert stage.balancer.score(here) < stage.balancer.score(there)
+
+
+@pytest.mark.parametrize("balancers", [1, 7, 400])
+def test_all_balancers_together_keep_a_cold_server_within_its_budget(balancers: int) -> None:
+    """Rule 4 at its worst: every balancer knows of one cold server only and has requests without end."""
+    window_us, cold_us, work_us = 1_000_000, 10_000_000, 20_000
+    told = {"balancers": balancers, "cold_us": cold_us, "cold_from": 0.2, "fall_multiple": 2.5}
+    start = 50_000_000
+    cold = [Server(7, started_us=start)]
+    group = [
+        balance.Balancer(settings(route(), number=n, fall_window_us=window_us, **told), n)
+        for n in range(balancers)
+    ]
+    for balancer in group:
+        balancer.handle(start, [ServerList(ListKind.CACHED, tuple(cold))])
+        balancer.routes[0].cost_us = float(work_us)
+    sent: list[int] = []
+    number = 0
+    for now in range(start, start + 4_000_000, 50_000):
+        for balancer in group:
+            for _ in range(3):
+                number += 1
+                actions = balancer.handle(now, [Arrived(number, 0, now + DEADLINE_US)])
+                if any(isinstance(a, Send) for a in actions):
+                    sent.append(now)
+                    balancer.handle(now, [AttemptDone(number, 0, Outcome.SUCCESS, work_us, True)])
+                else:
+                    balancer.handle(now, [Departed(number)])
+    assert len(sent) > 20  # the budget is put to use, not only kept
+    for first in sent:
+        warmth = 0.2 + 0.8 * (first - start) / cold_us
+        work = work_us * sum(1 for t in sent if first <= t < first + window_us)
+        assert work <= 2.5 * warmth * window_us
+
+
+def test_a_dead_zone_is_not_panicked_into() -> None:
+    here = [Server(i, zone=0) for i in range(1, 4)]
+    there = [Server(i, zone=1) for i in range(11, 14)]
+    stage = Stage(settings(route(Effect.UNSAFE)), here + there)
+    stage.warm_up(60)
+    for s in stage.balancer.servers.values():
+        if s.spec.zone == 0:
+            s.ejected_until_us = stage.now + 60_000_000
+    for _ in range(40):
+        request = stage.arrive()
+        assert stage.sends[request][0] > 10
+        stage.done(request, Outcome.SUCCESS)
+
+
+def test_marked_repeats_wait_behind_first_tries() -> None:
+    """In an overload most repeats have lost their aim already; they must not take room from first tries."""
+    stage = Stage(settings(), 1)
+    while not stage.balancer.queued:
+        blocking = stage.arrive()
+    repeats = [stage.arrive(repeat=True) for _ in range(3)]
+    first = stage.arrive()
+    for request in [r for r in stage.sends if r < blocking]:
+        stage.done(request, Outcome.SUCCESS)
+    sent = list(stage.sends)
+    assert sent.index(first) < min(sent.index(r) for r in repeats if r in sent)
+
+
+def test_an_unmarked_repeat_that_has_lost_its_aim_is_refused() -> None:
+    stage = Stage(settings(), 2)
+    stage.warm_up(20)
+    late = stage.arrive(give_up_us=DEADLINE_US - 2 * AIM_US)
+    assert stage.log[-1] == Refuse(late)
+    marking = Stage(settings(clients_mark_repeats=True), 2)
+    marking.warm_up(20)
+    assert marking.arrive(give_up_us=DEADLINE_US - 2 * AIM_US) in marking.sends
+
+
+def test_a_few_long_tries_do_not_make_repeats_of_all_others() -> None:
+    """Duluth rough-2: one try of the full deadline had every shorter first try refused as a late repeat."""
+    stage = Stage(settings(), 3)
+    stage.warm_up(20)
+    for long in (True, False, False):
+        request = stage.arrive(give_up_us=(13 if long else 10) * DEADLINE_US // 10)
+        assert request in stage.sends
+        stage.done(request, Outcome.SUCCESS)
+
+
+def test_a_window_keeps_to_its_local_servers_while_they_serve_as_well() -> None:
+    """Estado quiet: eight points of the result went to crossings no server's state called for."""
+    stage = Stage(many(price_cross_zone=0.1), fleet())
+    for _ in range(80):
+        request = stage.arrive()
+        stage.pass_time(150_000)
+        if request in stage.sends:
+            stage.done(request, Outcome.SUCCESS, 10_000)
+    zones = Counter((sent[0] - 100) % 3 for sent in list(stage.sends.values())[-60:])
+    assert zones[0] > 45
+
+
+def test_a_dear_crossing_brings_local_servers_into_the_window_and_a_cheap_one_does_not() -> None:
+    """Estado quiet: windows with no local server paid for five points of crossings."""
+    dear, cheap = (Stage(many(price_cross_zone=p), fleet()).balancer for p in (0.3, 0.01))
+    shares = []
+    for balancer in (dear, cheap):
+        balancer.recent = 12.0
+        window = balancer.window() or []
+        assert len(window) == len({s.spec.id for s in window}) == 12
+        shares.append(sum(s.spec.zone == 0 for s in window))
+    assert shares[0] >= 6 and shares[0] > shares[1]
--- /dev/null
+++ b/tests/test_property.py
@@ -0,0 +1,260 @@
+"""Random legal histories against the independent checker, and the checker against broken rules."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from pinetrack import balance
+from pinetrack.balance import Balancer
+from pinetrack.interface import (
+    Alarm,
+    Arrived,
+    AttemptDone,
+    Cancel,
+    Departed,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    Outcome,
+    Refuse,
+    Route,
+    Send,
+    Server,
+    ServerList,
+    SetAlarm,
+    Settings,
+    State,
+)
+from tests.rulecheck import Checker, RuleBroken
+
+WORK_US = 20_000
+TICK_US = 5_000
+
+
+def routes(memory_us: int) -> tuple[Route, ...]:
+    base: dict[str, Any] = {"aim_us": 200_000, "deadline_us": 600_000, "memory_span_us": memory_us}
+    return (
+        Route("safe", Effect.SAFE, worth=2.0, **base),
+        Route("all", Effect.KEYED, group=Group.ALL, **base),
+        Route("zone", Effect.KEYED, group=Group.ZONE, **base),
+        Route("cell", Effect.KEYED, group=Group.CELL, **base),
+        Route("unsafe", Effect.UNSAFE, **base),
+        Route("long", Effect.SAFE, aim_us=500_000, deadline_us=900_000),
+    )
+
+
+class World:
+    """Plays a legal, troubled history: servers that err, hang, die, drain, restart; clients that leave."""
+
+    def __init__(self, seed: int, parallel: bool, memory_us: int, bad: float) -> None:
+        self.rng = random.Random(seed)
+        self.bad = bad
+        self.told = Settings(
+            routes=routes(memory_us),
+            balancers=self.rng.choice([1, 2, 3]),
+            discovery_asks=self.rng.random() < 0.5,
+            tenant_quotas_per_s=(40.0, 20.0),
+            over_quota_worth=0.1,
+            max_attempts=self.rng.choice([1, 2, 4]),
+            parallel_tries=parallel,
+            cancelling=self.rng.random() < 0.8,
+            retry_after=True,
+            max_retry_after_us=500_000,
+            drain_grace_us=0,
+            cold_us=3_000_000,
+            cold_from=0.25,
+            fall_multiple=2.5,
+            fall_window_us=1_000_000,
+            answer_slack_us=2 * TICK_US,
+            warm_keys=self.rng.random() < 0.5,
+        )
+        self.now = 10_000_000
+        self.balancer = Balancer(self.told, seed)
+        self.checker = Checker(self.told, WORK_US)
+        self.due: list[tuple[int, int, Event]] = []
+        self.count = 0
+        self.next_request = 0
+        self.tries: dict[int, int] = {}
+        self.give_up: dict[int, int] = {}
+        self.ended: set[int] = set()
+        self.out: set[tuple[int, int]] = set()
+        self.servers = [Server(50 + i, zone=i % 2, cell=i % 4, kind=i % 2) for i in range(7)]
+        started = self.now - 500_000
+        self.servers[0] = self.servers[0]._replace(started_us=started)
+
+    def later(self, delay_us: int, event: Event) -> None:
+        self.count += 1
+        self.due.append((self.now + max(delay_us, TICK_US), self.count, event))
+
+    def play(self, ticks: int) -> None:
+        self.step([ServerList(ListKind.CACHED, tuple(self.servers))])
+        for tick in range(ticks):
+            self.now += TICK_US
+            events: list[Event] = []
+            if tick < ticks - 250:
+                events += self.trouble()
+                for _ in range(self.rng.choice([0, 0, 1, 1, 2])):
+                    events.append(self.arrival())
+            ready = sorted(d for d in self.due if d[0] <= self.now)
+            self.due = [d for d in self.due if d[0] > self.now]
+            for _, _, event in ready:
+                events += self.deliver(event)
+            if events:
+                self.step(events)
+            else:
+                self.checker.after(self.now, [])
+        assert self.give_up.keys() == self.ended
+        assert not self.balancer.requests and self.balancer.queued == 0
+        assert all(s.in_flight == s.overdue == 0 for s in self.balancer.servers.values())
+
+    def trouble(self) -> list[Event]:
+        roll = self.rng.random()
+        index = self.rng.randrange(len(self.servers))
+        line = self.servers[index]
+        if roll < 0.01:
+            state = self.rng.choice([State.DRAINING, State.GONE, State.READY])
+            fresh = line.state is not State.READY and state is State.READY
+            line = line._replace(state=state, started_us=self.now if fresh else line.started_us)
+            self.servers[index] = line
+            return [ServerList(ListKind.CHANGES, (line,))]
+        if roll < 0.015:
+            return [ServerList(ListKind.FULL, tuple(s for s in self.servers if s.state is not State.GONE))]
+        return [ServerList(ListKind.FAILED)] if roll < 0.02 else []
+
+    def arrival(self) -> Event:
+        self.next_request += 1
+        number, route = self.next_request, self.rng.randrange(len(self.told.routes))
+        wait = int(self.told.routes[route].deadline_us * self.rng.choice([0.5, 1.0, 1.0]))
+        self.give_up[number] = self.now + wait
+        self.tries[number] = 0
+        if self.rng.random() < 0.03:
+            self.later(self.rng.randrange(wait), Departed(number))
+        key = self.rng.choice([None, "a", "b", "c"])
+        return Arrived(number, route, self.now + wait, key, tenant=self.rng.randrange(3))
+
+    def deliver(self, event: Event) -> list[Event]:
+        if isinstance(event, Departed):
+            if event.request in self.ended:
+                return []
+            self.ended.add(event.request)
+        if isinstance(event, AttemptDone):
+            if (event.request, event.attempt) not in self.out:
+                return []
+            self.out.discard((event.request, event.attempt))
+            closed = event.request in self.ended or event.outcome is Outcome.SUCCESS
+            if closed:
+                self.ended.add(event.request)
+            return [event._replace(closed=closed)]
+        return [event]
+
+    def step(self, events: list[Event]) -> None:
+        self.checker.before(self.now, events)
+        actions = self.balancer.handle(self.now, events)
+        self.checker.after(self.now, actions)
+        for action in actions:
+            if isinstance(action, SetAlarm):
+                self.later(action.delay_us, Alarm(action.tag))
+            elif isinstance(action, Send):
+                self.sent(action)
+            elif isinstance(action, Cancel):
+                done = AttemptDone(action.request, action.attempt, Outcome.CANCELLED, TICK_US)
+                self.later(TICK_US, done)
+            elif isinstance(action, Refuse | Fail):
+                self.ended.add(action.request)
+
+    def sent(self, action: Send) -> None:
+        number = self.tries[action.request]
+        self.tries[action.request] += 1
+        self.out.add((action.request, number))
+        left = self.give_up[action.request] - self.now
+        if self.rng.random() < self.bad:
+            outcome: Outcome = self.rng.choice([o for o in Outcome if o is not Outcome.SUCCESS])
+            elapsed = left if outcome is Outcome.TIMEOUT else self.rng.randrange(TICK_US, 150_000)
+        else:
+            outcome = Outcome.SUCCESS
+            elapsed = int(self.rng.expovariate(1 / WORK_US)) + TICK_US
+        if elapsed >= left:
+            outcome, elapsed = Outcome.TIMEOUT, left
+        self.later(elapsed, AttemptDone(action.request, number, outcome, elapsed))
+
+
+@settings(max_examples=40, derandomize=True, deadline=None, suppress_health_check=list(HealthCheck))
+@given(
+    seed=st.integers(0, 10**6),
+    parallel=st.booleans(),
+    memory_us=st.sampled_from([30_000, 100_000, 2_000_000]),
+    bad=st.sampled_from([0.05, 0.3, 0.8, 1.0]),
+)
+def test_random_legal_histories_keep_the_rules(seed: int, parallel: bool, memory_us: int, bad: float) -> None:
+    World(seed, parallel, memory_us, bad).play(1000)
+
+
+def break_final_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "shed", lambda self, request: None)
+
+
+def break_send_after_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    def finish(self: Balancer, request: balance.Request) -> None:
+        self.actions.append(Fail(request.id))
+        if server := self.pick(request):
+            self.send(request, server)
+        self.close(request)
+
+    monkeypatch.setattr(Balancer, "finish", finish)
+
+
+def break_effect(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(balance.Request, "may_have_run", lambda self: [])
+
+
+def break_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(balance, "may_refuse", lambda request: True)
+
+
+def break_drain(monkeypatch: pytest.MonkeyPatch) -> None:
+    on_list = Balancer.on_list
+
+    def keep_all(self: Balancer, event: ServerList) -> None:
+        lines = tuple(line._replace(state=State.READY) for line in event.servers)
+        on_list(self, event._replace(servers=lines))
+
+    monkeypatch.setitem(balance.HANDLERS, ServerList, keep_all)
+
+
+def break_slow_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "may_warm", lambda self, request, server: True)
+
+
+@pytest.mark.parametrize(
+    ("breaking", "rule"),
+    [
+        (break_final_answer, "1: .* no final answer"),
+        (break_send_after_end, "1: .* after its end"),
+        (break_effect, "2: "),
+        (break_refusal, "2: .* refused"),
+        (break_drain, "3: "),
+        (break_slow_start, "4: "),
+    ],
+)
+def test_the_checker_sees_each_broken_rule(
+    breaking: Callable[[pytest.MonkeyPatch], None], rule: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    breaking(monkeypatch)
+    with pytest.raises(RuleBroken, match=f"^{rule}"):
+        for seed in range(40):
+            World(seed, parallel=seed % 2 == 0, memory_us=60_000, bad=0.3).play(1000)
+
+
+def test_refusals_name_a_wait_only_where_told() -> None:
+    balancer = Balancer(Settings(routes=routes(1)), 1)
+    assert Refuse(1) in balancer.handle(5, [Arrived(1, 0, 6), ServerList(ListKind.FULL, ())]) + (
+        balancer.handle(7_000, [Alarm(1)])
+    )
