--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -198,9 +198,9 @@
             self.enqueue(request)
 
     def over_quota(self, tenant: int) -> bool:
-        """Whether a tenant is past its share here: its quota, split evenly over the balancers."""
-        if tenant >= len(self.quotas):
-            return False
+        """Whether a tenant is past its share here: an even part of its quota. An unnamed tenant has none."""
+        if not 0 <= tenant < len(self.quotas):
+            return bool(self.quotas)
         rate, quota = self.settings.tenant_quotas_per_s[tenant] / self.settings.balancers, self.quotas[tenant]
         quota.earn(rate / 1e6 * (self.now - quota.filled_us), max(1.0, rate))
         quota.filled_us = self.now
--- /dev/null
+++ b/quillroad/config.py
@@ -0,0 +1,131 @@
+"""What a gateway is told at its start: `GW_*` and the JSON file, as typed values.
+
+Everything is checked here, once, so that a gateway that came up has no missing value to trip over at night.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pinetrack.benchlink import read_settings
+from pinetrack.interface import Settings
+
+Address = tuple[str, int]
+
+RESERVED = 24  # descriptors for what is no connection: listener, event loop, standard streams, watch
+
+
+class ConfigError(Exception):
+    """The configuration cannot work; the text is one plain line that names the field."""
+
+
+class Descriptors:
+    """Counts the open sockets of both sides. Guards against running into the process's limit, where an
+    accept or a connect fails at a place that can no longer answer anyone."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = max(1, limit - RESERVED)
+        self.used = 0
+
+    def spare(self) -> int:
+        return self.limit - self.used
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One gateway's configuration. The names that the sockets use stand in their order in the settings."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Mapping[str, Any]
+    settings: Settings
+    tenants: tuple[str, ...]
+    kinds: tuple[str, ...]
+    zones: tuple[str, ...]
+    connect_timeout_s: float
+    idle_s: float
+
+
+def read_address(text: Any, field: str) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
+        raise ConfigError(f"{field}: needs address:port, not {text!r}")
+    return host, int(port)
+
+
+def _part(data: Mapping[str, Any], key: str, kind: type[Any], field: str, default: Any = None) -> Any:
+    value = data.get(key)
+    if value is None:
+        value = default
+    if value is None:
+        raise ConfigError(f"{field}: missing")
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise ConfigError(f"{field}: needs {kind.__name__}, not {type(value).__name__}")
+    return value
+
+
+def _above_zero(data: Mapping[str, Any], key: str, field: str, default: int) -> int:
+    value: int = _part(data, key, int, field, default)
+    if value <= 0:
+        raise ConfigError(f"{field}: must be above 0")
+    return value
+
+
+def _names(data: Mapping[str, Any], key: str) -> tuple[str, ...]:
+    names = _part(data, key, list, f"settings.{key}", [])
+    return tuple(str(name.get("name")) if isinstance(name, dict) else str(name) for name in names)
+
+
+def _seed(value: Any) -> int:
+    """The seed is hexadecimal text as a rule; any other text or number seeds as well."""
+    text = str(value)
+    try:
+        return int(text, 16)
+    except ValueError:
+        return zlib.crc32(text.encode())
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The configuration that the environment points at; raises `ConfigError` where it cannot work."""
+    path = environment.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: missing")
+    try:
+        data = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"GW_CONFIG: cannot read {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"GW_CONFIG: {path} is not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"GW_CONFIG: {path} holds no JSON object")
+    told = _part(data, "settings", dict, "settings")
+    limits = _part(told, "limits", dict, "settings.limits", {})
+    try:
+        settings = read_settings(told)
+    except KeyError as error:
+        raise ConfigError(f"settings: {error.args[0]} is missing") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"settings: {error}") from None
+    return Config(
+        name=str(environment.get("GW_NAME") or data.get("name") or "gateway"),
+        listen=read_address(environment.get("GW_LISTEN") or data.get("listen"), "GW_LISTEN"),
+        discovery=read_address(environment.get("GW_DISCOVERY") or data.get("discovery"), "GW_DISCOVERY"),
+        seed=_seed(data.get("seed", 0)),
+        sockets=_above_zero(_part(data, "limits", dict, "limits", {}), "sockets", "limits.sockets", 1024),
+        known=_part(data, "known", dict, "known", {}),
+        settings=settings,
+        tenants=_names(told, "orgs"),
+        kinds=_names(told, "models"),
+        zones=_names(told, "zones"),
+        connect_timeout_s=_above_zero(limits, "connect_timeout", "settings.limits.connect_timeout", 1_000_000)
+        / 1e6,
+        idle_s=_above_zero(limits, "conn_idle", "settings.limits.conn_idle", 15_000_000) / 1e6,
+    )
--- /dev/null
+++ b/quillroad/engine.py
@@ -0,0 +1,275 @@
+"""Drives the decision module: events in, actions out, alarms, one clock. Owns the open requests.
+
+Nothing about hosts, retries or refusals is decided here. What the engine adds is what real sockets need: an
+answer in time even if the module says nothing, and a fault in one request that stays that request's own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import NamedTuple
+
+from pinetrack.balance import Balancer
+from pinetrack.interface import (
+    Action,
+    Alarm,
+    Arrived,
+    AttemptDone,
+    Cancel,
+    Departed,
+    Event,
+    Fail,
+    Log,
+    Outcome,
+    Refuse,
+    Send,
+    ServerList,
+    SetAlarm,
+    State,
+    StreamStarted,
+)
+from quillroad.config import Address
+from quillroad.upstream import Answer, Attempt, Host, Upstream
+
+log = logging.getLogger("quillroad.engine")
+
+# Before the client's deadline by this much the attempts are timed out and the module says its last word:
+# room for the way to the client, for a loop that runs late and for a core that another gateway has just now.
+MARGIN_S = 0.040
+GUARD_S = 0.015  # and this much before it the engine answers by itself, if the module said nothing
+
+
+class Reply(NamedTuple):
+    """The one final answer to a client."""
+
+    status: int
+    answer: Answer | None = None
+    retry_after_us: int = 0
+
+
+SERVED, FAILED, REFUSED, TIMED_OUT = 200, 502, 503, 504
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A request that has passed all checks of its form."""
+
+    id: str
+    route: int
+    tenant: int
+    key: str | None
+    expires: float  # loop time at which the client stops waiting
+    repeat: bool
+    work_us: int | None
+    head: bytes  # what goes on unchanged: request line and headers, the deadline's and the last line apart
+    body: bytes
+
+
+class OpenRequest:
+    """Kept from the arrival until the final answer and the outcome of every attempt."""
+
+    def __init__(self, number: int, request: ClientRequest, reply: Callable[[Reply], None]) -> None:
+        self.number, self.request = number, request
+        self.reply: Callable[[Reply], None] | None = reply
+        self.attempts: list[Attempt | None] = []  # None: not sent at all
+        self.out = 0
+        self.guard: asyncio.TimerHandle | None = None
+
+
+class Engine:
+    """One module, one clock. `now_us` is Unix time that never goes back, so starts of hosts told in Unix
+    time, also those before this process began, lie where they belong on it."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, balancer: Balancer, upstream: Upstream) -> None:
+        self._loop, self._balancer, self._upstream = loop, balancer, upstream
+        self._epoch_us = time.time_ns() // 1000 - int(loop.time() * 1e6)
+        self._numbers = itertools.count(1)
+        self._open: dict[int, OpenRequest] = {}
+        self._ids: set[str] = set()  # ids of the requests that still wait for their answer
+        self._events: deque[Event] = deque()
+        self._busy = False
+        self.hosts: dict[int, Host] = {}
+
+    def now_us(self) -> int:
+        return self._epoch_us + int(self._loop.time() * 1e6)
+
+    def is_open(self, request_id: str) -> bool:
+        return request_id in self._ids
+
+    @property
+    def ready(self) -> bool:
+        return bool(self.hosts)
+
+    # From the client side.
+
+    def accept(self, request: ClientRequest, reply: Callable[[Reply], None]) -> OpenRequest:
+        """Take a request; `reply` is called once, before the client's deadline, unless it departs."""
+        opened = OpenRequest(next(self._numbers), request, reply)
+        self._open[opened.number] = opened
+        self._ids.add(request.id)
+        left_s = request.expires - self._loop.time()
+        opened.guard = self._loop.call_later(max(0.0, left_s - GUARD_S), self._overdue, opened)
+        give_up_us = self.now_us() + int((left_s - MARGIN_S) * 1e6)
+        self.feed(
+            Arrived(
+                opened.number, request.route, give_up_us, request.key, request.work_us, request.tenant,
+                request.repeat,
+            )
+        )
+        return opened
+
+    def depart(self, opened: OpenRequest) -> None:
+        """The client has gone."""
+        if opened.reply is not None:
+            self._settle(opened)
+            self.feed(Departed(opened.number))
+            self._forget(opened)
+
+    def _overdue(self, opened: OpenRequest) -> None:
+        """Rule 1's last line: a failure promises nothing and so is always allowed."""
+        if opened.reply is not None:
+            log.error("request %s: no decision by its deadline", opened.request.id)
+            self._answer(opened, Reply(TIMED_OUT))
+            self.feed(Departed(opened.number))
+            self._forget(opened)
+
+    # From the list of hosts.
+
+    def update(self, servers: ServerList, names: dict[int, str], addresses: dict[int, Address]) -> None:
+        """A list takes effect on the sockets first: what it ends must not get a byte more."""
+        whole = servers.kind.value != 2
+        told = {s.id: s for s in servers.servers if s.state is not State.GONE}
+        for number, host in list(self.hosts.items()):
+            line = told.get(number)
+            gone = line is None and (whole or any(s.id == number for s in servers.servers))
+            moved = line is not None and addresses[number] != host.address
+            if gone or moved:
+                del self.hosts[number]
+                self._upstream.retire(host)
+        for number, server in told.items():
+            current = self.hosts.get(number) or Host(names[number], addresses[number])
+            self.hosts[number] = current
+            if server.state is State.DRAINING:
+                self._upstream.retire(current)
+            else:
+                current.ready = True
+        self.feed(servers)
+
+    # The module.
+
+    def feed(self, event: Event) -> None:
+        """Give the module one event and carry out what it decides. What an action brings about at once is
+        fed after it, in order, never from inside the module."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _step(self, event: Event) -> None:
+        try:
+            actions = self._balancer.handle(self.now_us(), [event])
+        except Exception:
+            # One request's fault must not take the gateway down. What was decided before it still counts.
+            log.exception("the module failed on %s", type(event).__name__)
+            actions = self._balancer.actions
+            if isinstance(event, Arrived | AttemptDone | StreamStarted):
+                self._fail(event.request)
+        for action in actions:
+            try:
+                self._perform(action)
+            except Exception:
+                log.exception("could not carry out %s", type(action).__name__)
+                if isinstance(action, Send | Refuse | Fail | Cancel):
+                    self._fail(action.request)
+
+    def _fail(self, number: int) -> None:
+        opened = self._open.get(number)
+        if opened is not None and opened.reply is not None:
+            self._answer(opened, Reply(FAILED))
+            self._events.append(Departed(number))
+            self._forget(opened)
+
+    def _perform(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        elif isinstance(action, SetAlarm):
+            self._loop.call_later(action.delay_us / 1e6, self.feed, Alarm(action.tag))
+        elif isinstance(action, Cancel):
+            opened = self._open.get(action.request)
+            attempt = opened.attempts[action.attempt] if opened is not None else None
+            if attempt is not None:
+                attempt.cancel()
+        elif isinstance(action, Refuse | Fail):
+            opened = self._open.get(action.request)
+            if opened is not None and opened.reply is not None:
+                refused = isinstance(action, Refuse)
+                retry_after_us = action.retry_after_us if isinstance(action, Refuse) else 0
+                self._answer(opened, Reply(REFUSED if refused else FAILED, None, retry_after_us))
+                self._forget(opened)
+        elif isinstance(action, Log):
+            log.info("%s", action.text)
+        # `Watch` asks for what the gateway always does; `Probe` the module never asks for.
+
+    def _send(self, action: Send) -> None:
+        opened = self._open.get(action.request)
+        if opened is None:
+            return
+        number, started = len(opened.attempts), self._loop.time()
+        host = self.hosts.get(action.server)
+        if opened.reply is None or host is None or not host.ready:
+            opened.attempts.append(None)
+            self._events.append(AttemptDone(action.request, number, Outcome.MOOT, 0, opened.reply is None))
+            return
+        left_s = max(0.0, opened.request.expires - MARGIN_S - started)
+        timeout_s = min(left_s, action.timeout_us / 1e6) if action.timeout_us else left_s
+        opened.out += 1
+        opened.attempts.append(
+            self._upstream.start(
+                host,
+                b"%bRequest-Timeout-Ms: %d\r\n\r\n%b"
+                % (opened.request.head, max(1, int(timeout_s * 1000)), opened.request.body),
+                timeout_s,
+                partial(self._done, opened, number, started),
+            )
+        )
+
+    def _done(
+        self, opened: OpenRequest, number: int, started: float, outcome: Outcome, answer: Answer | None
+    ) -> None:
+        opened.out -= 1
+        opened.attempts[number] = None
+        if answer is not None and opened.reply is not None:
+            self._answer(opened, Reply(SERVED, answer))
+        elapsed_us = int((self._loop.time() - started) * 1e6)
+        self.feed(AttemptDone(opened.number, number, outcome, elapsed_us, opened.reply is None))
+        self._forget(opened)
+
+    # The end of a request.
+
+    def _answer(self, opened: OpenRequest, reply: Reply) -> None:
+        send = opened.reply
+        self._settle(opened)
+        if send is not None:
+            send(reply)
+
+    def _settle(self, opened: OpenRequest) -> None:
+        opened.reply = None
+        self._ids.discard(opened.request.id)
+        if opened.guard is not None:
+            opened.guard.cancel()
+
+    def _forget(self, opened: OpenRequest) -> None:
+        if opened.reply is None and not opened.out:
+            self._open.pop(opened.number, None)
--- /dev/null
+++ b/quillroad/server.py
@@ -0,0 +1,392 @@
+"""The client side: parse and check requests, frame the one answer, drain.
+
+Clients are not trusted: heads, bodies, half requests, idle and unread connections are all bounded, and what
+cannot be read costs the connection that sent it and nothing else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from typing import cast
+from urllib.parse import unquote
+
+import httptools
+
+from pinetrack.interface import Effect
+from quillroad.config import Config, Descriptors
+from quillroad.engine import ClientRequest, Engine, OpenRequest, Reply
+from quillroad.upstream import BODY_LIMIT, HEAD_LIMIT
+
+log = logging.getLogger("quillroad.server")
+
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 413: b"Content Too Large",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable", 504: b"Gateway Timeout",
+}
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length "
+    b"request-timeout-ms proxy-authorization proxy-authenticate".split()
+)
+BACKLOG = 16  # requests that a client may send ahead on one connection
+RECEIVE_S = 10.0  # for a request to come in whole
+UNREAD_S = 10.0  # for a client to take its answer
+IDLE_S = 75.0
+LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # after an error, so that a client still sending can read why
+
+
+class _Bad(Exception):
+    """What came is no request; `status` says why."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class _Pending:
+    """A request that is complete, or the error that it got, waiting for its turn on the connection."""
+
+    def __init__(self, request: ClientRequest | None, status: int, keep: bool, why: str = "") -> None:
+        self.request, self.status, self.keep, self.why = request, status, keep, why
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client connection: one request at a time, those sent ahead in order."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._backlog: deque[_Pending] = deque()
+        self._serving = False
+        self._opened: OpenRequest | None = None
+        self._keep = True
+        self._advancing = self._paused = self._unread = self._ended = self._partial = False
+        self._discarded = 0
+        self._bad: _Bad | None = None
+        self.last_change = server.loop.time()  # what the limits on time count from
+        self._begin()
+
+    def _begin(self) -> None:
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._size = 0
+        self._body: list[bytes] = []
+        self._head = True
+        self._since = self._server.loop.time()
+
+    # The transport's side.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
+        self._server.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._ended = True
+        self._backlog.clear()
+        self._server.left(self)
+        if self._opened is not None:
+            opened, self._opened = self._opened, None
+            self._server.engine.depart(opened)
+
+    def pause_writing(self) -> None:
+        self._unread = True
+        self.last_change = self._server.loop.time()
+
+    def resume_writing(self) -> None:
+        self._unread = False
+        self._advance()
+
+    def data_received(self, data: bytes) -> None:
+        if self._ended:
+            self._discarded += len(data)
+            if self._discarded > LINGER_BYTES:
+                self.abort()
+            return
+        was_head = self._head and self._partial
+        try:
+            self._parser.feed_data(data)
+            if was_head and self._head and self._partial:
+                self._size += len(data)  # a header without end reaches no callback
+                if self._size > HEAD_LIMIT:
+                    raise _Bad(431, "head too long")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, _Bad) as error:
+            bad = error if isinstance(error, _Bad) else self._bad or _Bad(400, f"not HTTP: {error}")
+            self._ended = True
+            self._backlog.append(_Pending(None, bad.status, False, str(bad)))
+        if len(self._backlog) >= BACKLOG and not self._paused and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+        self._advance()
+
+    # The parser's side.
+
+    def on_message_begin(self) -> None:
+        self._begin()
+        self._partial = True
+        if not self._serving:
+            self.last_change = self._since
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._grow(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value.strip()))
+        self._grow(len(name) + len(value) + 4)
+
+    def _grow(self, size: int) -> None:
+        self._size += size
+        if self._size > HEAD_LIMIT:
+            self._reject(431, "head too long")
+
+    def _reject(self, status: int, why: str) -> None:
+        """End the parsing from inside a callback; the parser wraps what is raised here."""
+        self._bad = _Bad(status, why)
+        raise self._bad
+
+    def on_headers_complete(self) -> None:
+        self._head, self._size = False, 0
+        for name, value in self._headers:
+            if name.lower() == b"content-length" and int(value) > BODY_LIMIT:
+                self._reject(413, "body too long")
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > BODY_LIMIT:
+            self._reject(413, "body too long")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._partial = False
+        keep = self._parser.should_keep_alive()
+        try:
+            method = self._parser.get_method()
+            path = self._url.partition(b"?")[0]
+            if path == b"/up" and method == b"GET":
+                pending = _Pending(None, self._server.up_status(), keep)
+            else:
+                request = self._server.check(method, self._url, self._headers, b"".join(self._body),
+                                             self._since)
+                pending = _Pending(request, 200, keep)
+        except _Bad as bad:
+            pending = _Pending(None, bad.status, keep, str(bad))
+        self._backlog.append(pending)
+
+    # One request after another.
+
+    def _advance(self) -> None:
+        """Begin the next request, once the answer before it is on its way and was read."""
+        if self._advancing:
+            return
+        self._advancing = True
+        try:
+            while self._backlog and not self._serving and not self._unread and self._transport is not None:
+                self._serve(self._backlog.popleft())
+        finally:
+            self._advancing = False
+        if self._paused and len(self._backlog) < BACKLOG // 2 and self._transport is not None:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _serve(self, pending: _Pending) -> None:
+        self._serving, self._keep = True, pending.keep
+        if pending.request is None:
+            if pending.status >= 400 and pending.status != 503:
+                log.info("%d: %s", pending.status, pending.why)
+            self.answer(Reply(pending.status))
+            return
+        engine = self._server.engine
+        if engine.is_open(pending.request.id):
+            log.info("400: the id of an open request")
+            self.answer(Reply(400))
+            return
+        if self._server.crowded():
+            self._keep = False
+            self.answer(Reply(503))
+            return
+        try:
+            opened = engine.accept(pending.request, self.answer)
+        except Exception:
+            log.exception("request %s failed", pending.request.id)
+            if self._serving:
+                self.answer(Reply(500))
+            return
+        if self._serving:  # not answered already
+            self._opened = opened
+
+    def answer(self, reply: Reply) -> None:
+        """The one place that writes to a client."""
+        self._opened, self._serving = None, False
+        self.last_change = self._server.loop.time()
+        if self._transport is None:
+            return
+        keep = self._keep and not self._server.draining
+        lines = [b"HTTP/1.1 %d %b" % (reply.status, REASONS[reply.status])]
+        body = b""
+        if reply.answer is not None:
+            body = reply.answer.body
+            if reply.answer.content_type is not None:
+                lines.append(b"Content-Type: " + reply.answer.content_type)
+        if reply.retry_after_us:
+            lines.append(b"Retry-After: %.3f" % (reply.retry_after_us / 1e6))
+        lines.append(b"Content-Length: %d" % len(body))
+        lines.append(b"Connection: keep-alive" if keep else b"Connection: close")
+        self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        if keep:
+            self._server.loop.call_soon(self._advance)
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        """End the connection after its last answer. A close on unread bytes would reset it and could take
+        the answer along, so the sending side ends first and what still comes is thrown away for a while."""
+        self._ended = True
+        self._backlog.clear()
+        if self._transport is not None:
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+            self._server.loop.call_later(LINGER_S, self.abort)
+
+    def eof_received(self) -> bool:
+        return False  # the client has closed: the transport closes too, and an open request departs
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    # What the server asks.
+
+    def idle(self) -> bool:
+        return not (self._serving or self._backlog or self._partial or self._ended)
+
+    def sweep(self, now: float) -> None:
+        """Ends what takes too long. Guards the descriptors against clients that come and say nothing."""
+        waited = now - self.last_change
+        if self._unread and waited > UNREAD_S:
+            self.abort()
+        elif self._partial and not self._serving and not self._ended and waited > RECEIVE_S:
+            self._ended = True
+            self._backlog.append(_Pending(None, 408, False, "request not whole in time"))
+            self._advance()
+        elif self.idle() and waited > IDLE_S:
+            self.abort()
+
+
+class Server:
+    """All client connections of the gateway."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        engine: Engine,
+        descriptors: Descriptors,
+        make_room: Callable[[], bool],
+    ) -> None:
+        self.loop, self.engine = loop, engine
+        self._descriptors, self._make_room = descriptors, make_room
+        self._most = descriptors.limit // 2  # the other half is the hosts': each request needs one there
+        self._routes = {route.name: i for i, route in enumerate(config.settings.routes)}
+        self._effects = [route.effect for route in config.settings.routes]
+        self._deadlines = [route.deadline_us / 1e6 for route in config.settings.routes]
+        self._tenants = {name: i for i, name in enumerate(config.tenants)}
+        self.connections: dict[ClientConnection, None] = {}
+        self.draining = False
+        self._listener: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        self._listener = await self.loop.create_server(
+            partial(ClientConnection, self), host, port, backlog=1024
+        )
+        port_used: int = self._listener.sockets[0].getsockname()[1]
+        return port_used
+
+    def up_status(self) -> int:
+        return 200 if self.engine.ready and not self.draining else 503
+
+    def joined(self, connection: ClientConnection) -> None:
+        self._descriptors.used += 1
+        if len(self.connections) >= self._most or self._descriptors.spare() <= 0:
+            idle = next((c for c in self.connections if c.idle()), None)
+            if idle is not None:
+                idle.abort()
+            elif self._descriptors.spare() <= 0 and not self._make_room():
+                connection.abort()
+        self.connections[connection] = None
+
+    def left(self, connection: ClientConnection) -> None:
+        self._descriptors.used -= 1
+        self.connections.pop(connection, None)
+
+    def crowded(self) -> bool:
+        """Whether there is no descriptor left to serve one more: then it is turned away, not started."""
+        return len(self.connections) > self._most
+
+    def check(
+        self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes, since: float
+    ) -> ClientRequest:
+        """A request that may go on, or `_Bad`."""
+        parts = url.partition(b"?")[0].split(b"/")
+        if len(parts) < 2 or parts[0] or not parts[1]:
+            raise _Bad(404, "no such path")
+        route = self._routes.get(unquote(parts[1].decode("latin-1")))
+        if route is None:
+            raise _Bad(400 if len(parts) == 3 else 404, "no such class")
+        single: dict[bytes, bytes] = {}
+        kept = [b"%b %b HTTP/1.1" % (method, url)]
+        for name, value in headers:
+            lower = name.lower()
+            if lower in (b"request-id", b"idempotency-key", b"request-timeout-ms") and lower in single:
+                raise _Bad(400, f"two headers {lower.decode()}")
+            single[lower] = value
+            if lower not in HOP_BY_HOP:
+                kept.append(b"%b: %b" % (name, value))
+        safe, keyed = self._effects[route] is Effect.SAFE, self._effects[route] is Effect.KEYED
+        if method != (b"GET" if safe else b"POST"):
+            raise _Bad(400, "wrong method for the class")
+        if safe and body:
+            raise _Bad(400, "a body with GET")
+        if keyed != bool(single.get(b"idempotency-key")):
+            raise _Bad(400, "Idempotency-Key and class do not go together")
+        request_id = single.get(b"request-id", b"").decode("latin-1")
+        if not request_id:
+            raise _Bad(400, "no Request-Id")
+        wait = single.get(b"request-timeout-ms", b"")
+        if not wait.isdigit() or len(wait) > 12 or int(wait) == 0:
+            raise _Bad(400, "bad Request-Timeout-Ms")
+        if not safe:
+            kept.append(b"Content-Length: %d" % len(body))
+        hint = single.get(b"work-hint", b"")
+        return ClientRequest(
+            id=request_id,
+            route=route,
+            tenant=self._tenants.get(single.get(b"tenant", b"").decode("latin-1"), -1),
+            key=unquote(parts[-1].decode("latin-1")) if len(parts) > 2 and parts[-1] else None,
+            expires=since + min(int(wait) / 1000, self._deadlines[route]),
+            repeat=single.get(b"client-retry") == b"1",
+            work_us=int(hint) if hint.isdigit() and len(hint) < 12 else None,
+            head=b"\r\n".join(kept) + b"\r\n",
+            body=body,
+        )
+
+    def sweep(self) -> None:
+        now = self.loop.time()
+        for connection in list(self.connections):
+            connection.sweep(now)
+
+    def stop_listening(self) -> None:
+        """The front has stopped sending connections: no more are taken, and idle ones end."""
+        if self._listener is not None:
+            self._listener.close()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        for connection in list(self.connections):
+            if connection.idle():
+                connection.abort()
--- /dev/null
+++ b/quillroad/upstream.py
@@ -0,0 +1,308 @@
+"""The host side: a pool of connections, and one attempt at a time on each with its exact `Outcome`.
+
+An HTTP client library would resend on a broken kept-alive connection by itself and hide whether the last
+byte was written. Either would break the rule on duplicated effects, so this file speaks HTTP itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, cast
+
+import httptools
+
+from pinetrack.interface import Outcome
+from quillroad.config import Address, Descriptors
+
+BODY_LIMIT = 64 * 1024
+HEAD_LIMIT = 16 * 1024
+IDLE_PART = 0.5  # part of the hosts' idle time after which a connection is dropped: they must never be first
+
+
+class Answer(NamedTuple):
+    """A host's whole answer of status 200."""
+
+    body: bytes
+    content_type: bytes | None
+
+
+class Host:
+    """One host as the list has it, and this gateway's connections to it."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name, self.address, self.ready = name, address, True
+        self.idle: list[HostConnection] = []  # the most recently used last
+        self.connecting: set[Attempt] = set()
+
+
+Done = Callable[[Outcome, Answer | None], None]
+
+
+class Attempt:
+    """One copy of a request on its way to one host. `done` is called exactly once, never from `start`."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, timeout_s: float, done: Done) -> None:
+        self.host = host
+        self._done: Done | None = done
+        self._timer = loop.call_later(max(0.0, timeout_s), self._end, Outcome.TIMEOUT)
+        self.connection: HostConnection | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def over(self) -> bool:
+        return self._done is None
+
+    def cancel(self) -> None:
+        """Stop waiting. The host reads the closed connection as giving up."""
+        self._end(Outcome.CANCELLED)
+
+    def _end(self, outcome: Outcome) -> None:
+        """Given up from this side: whatever still comes on the connection belongs to nobody, so it goes."""
+        connection, task, connecting = self.connection, self.task, self in self.host.connecting
+        if connecting and outcome is Outcome.CANCELLED:
+            outcome = Outcome.MOOT  # no byte went out
+        self.finish(outcome)
+        if connection is not None:
+            connection.drop()
+        elif task is not None:
+            task.cancel()
+
+    def withdraw(self) -> None:
+        """The host has left service while the connection was coming up: nothing was sent."""
+        self._end(Outcome.MOOT)
+
+    def finish(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        done, self._done = self._done, None
+        if done is None:
+            return
+        self._timer.cancel()
+        self.host.connecting.discard(self)
+        if self.connection is not None:
+            self.connection.attempt = None
+            self.connection = None
+        done(outcome, answer)
+
+
+class HostConnection(asyncio.Protocol):
+    """One connection to a host: carries one attempt at a time, or is idle."""
+
+    def __init__(self, upstream: Upstream, host: Host) -> None:
+        self.upstream, self.host = upstream, host
+        self.attempt: Attempt | None = None
+        self.transport: asyncio.Transport | None = None
+        self.idle_since = 0.0
+        self._unsent = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._clear()
+
+    def _clear(self) -> None:
+        self._headers: dict[bytes, bytes] = {}
+        self._size = 0
+        self._body: list[bytes] = []
+        self._complete = self._excess = self._keep = False
+        self._status = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
+        # With the marks at 0 `pause_writing` stands for "bytes left in this process", `resume_writing` for
+        # "the kernel has the last byte": what parts a failed connection from a reset.
+        self.transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self._unsent = True
+
+    def resume_writing(self) -> None:
+        self._unsent = False
+
+    def send(self, attempt: Attempt, request: bytes) -> None:
+        assert self.transport is not None
+        self._clear()
+        self.attempt, attempt.connection = attempt, self
+        self.transport.write(request)
+
+    def drop(self) -> None:
+        """Close at once, also with bytes unsent."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.upstream.forget(self)
+        if self.attempt is not None:
+            self.attempt.finish(Outcome.CONNECT_FAILED if self._unsent else Outcome.RESET)
+
+    def data_received(self, data: bytes) -> None:
+        attempt = self.attempt
+        if attempt is None:  # bytes that no request asked for: the next answer could not be told from them
+            self.drop()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._excess = True
+        if self._complete:
+            outcome = self._outcome()
+            answer = None
+            if outcome is Outcome.SUCCESS:
+                answer = Answer(b"".join(self._body), self._headers.get(b"content-type"))
+            if self._keep and not self._excess and not self._unsent:
+                self.attempt = attempt.connection = None
+                self.upstream.release(self)
+            else:
+                self.attempt = attempt.connection = None
+                self.drop()
+            attempt.finish(outcome, answer)
+        elif self._excess:
+            # What cannot be read may have run, and nothing later on this connection can be trusted.
+            attempt.finish(Outcome.ERROR)
+            self.drop()
+
+    def _outcome(self) -> Outcome:
+        if self._status == 200:
+            return Outcome.SUCCESS
+        if self._status in (503, 504) and self._headers.get(b"not-started") == b"1":
+            return Outcome.FULL
+        return Outcome.ERROR
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        if self._complete:
+            self._excess = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._complete:
+            return
+        self._size += len(name) + len(value)
+        if self._size > HEAD_LIMIT:
+            raise ValueError("head too long")
+        self._headers[name.lower()] = value.strip()
+
+    def on_headers_complete(self) -> None:
+        if not self._complete:
+            self._status, self._size = self._parser.get_status_code(), 0
+
+    def on_body(self, body: bytes) -> None:
+        if self._complete:
+            return
+        self._size += len(body)
+        if self._size > BODY_LIMIT:
+            raise ValueError("body too long")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._complete:
+            return
+        if 100 <= self._status < 200:  # an interim answer: the one that counts follows
+            self._clear()
+            return
+        self._complete, self._keep = True, self._parser.should_keep_alive()
+
+
+class Upstream:
+    """Starts attempts on pooled connections."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        descriptors: Descriptors,
+        connect_timeout_s: float,
+        idle_s: float,
+    ) -> None:
+        self._loop, self._descriptors = loop, descriptors
+        self._connect_timeout_s, self._idle_s = connect_timeout_s, idle_s * IDLE_PART
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle: dict[HostConnection, None] = {}  # all hosts' idle ones, the longest idle first
+
+    def start(self, host: Host, request: bytes, timeout_s: float, done: Done) -> Attempt:
+        """Begin an attempt on the connection used last, which is the least likely to be closing."""
+        attempt = Attempt(self._loop, host, timeout_s, done)
+        while host.idle:
+            connection = host.idle.pop()
+            self._idle.pop(connection, None)
+            if not connection.closing():
+                connection.send(attempt, request)
+                return attempt
+        if not host.ready or not self._room():
+            self._loop.call_soon(attempt.withdraw)
+            return attempt
+        host.connecting.add(attempt)
+        self._descriptors.used += 1
+        attempt.task = self._loop.create_task(self._connect(attempt, request))
+        self._tasks.add(attempt.task)
+        attempt.task.add_done_callback(self._tasks.discard)
+        return attempt
+
+    def _room(self) -> bool:
+        if self._descriptors.spare() <= 0:
+            self.drop_oldest_idle()
+        return self._descriptors.spare() > 0
+
+    def drop_oldest_idle(self) -> bool:
+        """Free one descriptor for someone who needs it."""
+        for connection in self._idle:
+            connection.drop()
+            self.forget(connection)
+            return True
+        return False
+
+    async def _connect(self, attempt: Attempt, request: bytes) -> None:
+        host, connection = attempt.host, HostConnection(self, attempt.host)
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                await self._loop.create_connection(lambda: connection, *host.address)
+        except (OSError, TimeoutError):
+            if connection.transport is None:
+                self._descriptors.used -= 1
+            attempt.finish(Outcome.CONNECT_FAILED)
+            return
+        except asyncio.CancelledError:
+            if connection.transport is None:
+                self._descriptors.used -= 1
+            else:
+                connection.drop()
+            raise
+        host.connecting.discard(attempt)
+        if attempt.over or not host.ready:
+            connection.drop()
+            attempt.finish(Outcome.MOOT)
+        elif connection.closing():
+            attempt.finish(Outcome.CONNECT_FAILED)
+        else:
+            connection.send(attempt, request)
+
+    def release(self, connection: HostConnection) -> None:
+        """Keep a connection for the next attempt, unless its host takes none."""
+        if not connection.host.ready:
+            connection.drop()
+            return
+        connection.idle_since = self._loop.time()
+        connection.host.idle.append(connection)
+        self._idle[connection] = None
+
+    def forget(self, connection: HostConnection) -> None:
+        """A connection has ended. Its descriptor counts until then, once."""
+        if connection.transport is not None:
+            connection.transport = None
+            self._descriptors.used -= 1
+        if self._idle.pop(connection, connection) is None:
+            connection.host.idle.remove(connection)
+
+    def retire(self, host: Host) -> None:
+        """The host drains or is gone: attempts whose first byte has not gone out are called back."""
+        host.ready = False
+        for attempt in list(host.connecting):
+            attempt.withdraw()
+        for connection in list(host.idle):
+            connection.drop()
+
+    def sweep(self) -> None:
+        """Drop what has been idle for long, before the host does and a request crosses its close."""
+        oldest = self._loop.time() - self._idle_s
+        for connection in list(self._idle):
+            if connection.idle_since > oldest:
+                break
+            connection.drop()
