Never end a connection whose first request may be unread; review mends

Checked: descriptors peaked at 122, so the hard stop (about 126) in server.py joined() was never reached: ruled out. Logs hold no fault. At fault: joined() ended the longest idle connection, and one that had just been accepted counts as idle while its first request lies unread in the kernel; a client sends again only what crosses a close between requests. Now only connections that have had an answer, or said nothing for 1 s, make room. The loopback test fails without the change and passes with it. The same reading found, each with a test: a drain dropped requests sent ahead on a connection (answer()), trailers counted as headers, endless chunk extensions were not bounded, fixed margins left no time to a client in a hurry (engine.py accept()), turning away gave no Retry-After.

--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -44,6 +44,7 @@
 # room for the way to the client, for a loop that runs late and for a core that another gateway has just now.
 MARGIN_S = 0.040
 GUARD_S = 0.015  # and this much before it the engine answers by itself, if the module said nothing
+MARGIN_PART = 0.25  # of the time that a client in a hurry gives: both margins shrink to fit into that
 
 
 class Reply(NamedTuple):
@@ -75,8 +76,11 @@
 class OpenRequest:
     """Kept from the arrival until the final answer and the outcome of every attempt."""
 
-    def __init__(self, number: int, request: ClientRequest, reply: Callable[[Reply], None]) -> None:
+    def __init__(
+        self, number: int, request: ClientRequest, reply: Callable[[Reply], None], give_up: float
+    ) -> None:
         self.number, self.request = number, request
+        self.give_up = give_up  # loop time at which its attempts end
         self.reply: Callable[[Reply], None] | None = reply
         self.attempts: list[Attempt | None] = []  # None: not sent at all
         self.out = 0
@@ -111,12 +115,13 @@
 
     def accept(self, request: ClientRequest, reply: Callable[[Reply], None]) -> OpenRequest:
         """Take a request; `reply` is called once, before the client's deadline, unless it departs."""
-        opened = OpenRequest(next(self._numbers), request, reply)
+        left_s = max(0.0, request.expires - self._loop.time())
+        shrink = min(1.0, MARGIN_PART * left_s / MARGIN_S)
+        opened = OpenRequest(next(self._numbers), request, reply, request.expires - MARGIN_S * shrink)
         self._open[opened.number] = opened
         self._ids.add(request.id)
-        left_s = request.expires - self._loop.time()
-        opened.guard = self._loop.call_later(max(0.0, left_s - GUARD_S), self._overdue, opened)
-        give_up_us = self.now_us() + int((left_s - MARGIN_S) * 1e6)
+        opened.guard = self._loop.call_at(request.expires - GUARD_S * shrink, self._overdue, opened)
+        give_up_us = self._epoch_us + int(opened.give_up * 1e6)
         self.feed(
             Arrived(
                 opened.number, request.route, give_up_us, request.key, request.work_us, request.tenant,
@@ -232,7 +237,7 @@
             opened.attempts.append(None)
             self._events.append(AttemptDone(action.request, number, Outcome.MOOT, 0, opened.reply is None))
             return
-        left_s = max(0.0, opened.request.expires - MARGIN_S - started)
+        left_s = max(0.0, opened.give_up - started)
         timeout_s = min(left_s, action.timeout_us / 1e6) if action.timeout_us else left_s
         request = b"%bRequest-Timeout-Ms: %d\r\n\r\n%b" % (
             opened.request.head, max(1, int(timeout_s * 1000)), opened.request.body,
--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -32,8 +32,10 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length "
     b"request-timeout-ms proxy-authorization proxy-authenticate".split()
 )
+MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # with a chunked body's framing
 BACKLOG = 16  # requests that a client may send ahead on one connection
 RECEIVE_S = 10.0  # for a request to come in whole
+UNHEARD_S = 1.0  # after which a new connection's first request would have been read
 UNREAD_S = 10.0  # for a client to take its answer
 IDLE_S = 75.0
 LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # after an error, so that a client still sending can read why
@@ -65,7 +67,7 @@
         self._serving = False
         self._opened: OpenRequest | None = None
         self._keep = True
-        self._advancing = self._paused = self._unread = self._ended = self._partial = False
+        self._answered = self._advancing = self._paused = self._unread = self._ended = self._partial = False
         self._discarded = self._complete = 0
         self._bad: _Bad | None = None
         self.last_change = server.loop.time()  # what the limits on time count from
@@ -111,10 +113,13 @@
         complete = self._complete
         try:
             self._parser.feed_data(data)
-            if self._partial and self._head and complete == self._complete:
-                self._received += len(data)  # a header without end reaches no callback
-                if self._received > HEAD_LIMIT:
+            if self._partial and complete == self._complete:
+                # A header without end, or an endless extension of a chunk, reaches no callback.
+                self._received += len(data)
+                if self._head and self._received > HEAD_LIMIT:
                     raise _Bad(431, "head too long")
+                if self._received > MESSAGE_LIMIT:
+                    raise _Bad(413, "request too long")
         except httptools.HttpParserUpgrade:
             # The offer is not taken up: the request is served, and what follows it is not HTTP any more.
             self._ended, self._backlog[-1].keep = True, False
@@ -140,6 +145,8 @@
         self._grow(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._head:
+            return  # a trailer: it must not stand in for a header that was checked
         self._headers.append((name, value.strip()))
         self._grow(len(name) + len(value) + 4)
 
@@ -210,8 +217,7 @@
             self.answer(Reply(400))
             return
         if self._server.crowded():
-            self._keep = False
-            self.answer(Reply(503))
+            self.answer(Reply(503, None, self._server.retry_after_us))
             return
         try:
             opened = engine.accept(pending.request, self.answer)
@@ -225,11 +231,13 @@
 
     def answer(self, reply: Reply) -> None:
         """The one place that writes to a client."""
-        self._opened, self._serving = None, False
+        self._opened, self._serving, self._answered = None, False, True
         self.last_change = self._server.loop.time()
         if self._transport is None:
             return
-        keep = self._keep and not self._server.draining
+        # What was sent ahead has been taken and is owed an answer: the last one says `close`.
+        leaving = self._server.draining or self._server.crowded()
+        keep = self._keep and (bool(self._backlog) or not leaving)
         lines = [b"HTTP/1.1 %d %b" % (reply.status, REASONS[reply.status])]
         body = b""
         if reply.answer is not None:
@@ -265,6 +273,11 @@
 
     # What the server asks.
 
+    def spare(self, now: float) -> bool:
+        """Whether it may be ended to make room. Not one that is new: its first request may be here and not
+        read yet, and a client sends only what crosses a close between requests a second time."""
+        return self.idle() and (self._answered or now - self.last_change > UNHEARD_S)
+
     def idle(self) -> bool:
         return not (self._serving or self._backlog or self._partial or self._ended)
 
@@ -277,7 +290,7 @@
             self._ended = True
             self._backlog.append(_Pending(None, 408, False, "request not whole in time"))
             self._advance()
-        elif self.idle() and waited > IDLE_S:
+        elif self.idle() and waited > (IDLE_S if self._answered else RECEIVE_S):
             self.abort()
 
 
@@ -298,6 +311,7 @@
         self._routes = {route.name: i for i, route in enumerate(config.settings.routes)}
         self._effects = [route.effect for route in config.settings.routes]
         self._deadlines = [route.deadline_us / 1e6 for route in config.settings.routes]
+        self.retry_after_us = config.settings.max_retry_after_us if config.settings.retry_after else 0
         self._tenants = {name: i for i, name in enumerate(config.tenants)}
         self.connections: dict[ClientConnection, None] = {}
         self.draining = False
@@ -316,7 +330,8 @@
     def joined(self, connection: ClientConnection) -> None:
         self._descriptors.used += 1
         if len(self.connections) >= self._most or self._descriptors.spare() <= 0:
-            idle = [c for c in self.connections if c.idle()]
+            now = self.loop.time()
+            idle = [c for c in self.connections if c.spare(now)]
             if idle:
                 min(idle, key=lambda c: c.last_change).abort()
             elif self._descriptors.spare() <= -RESERVED // 2 and not self._make_room():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,7 +10,7 @@
 
 from pinetrack.interface import Alarm, Arrived, Departed, Event
 from quillroad.discovery import server_number
-from quillroad.server import RECEIVE_S, UNREAD_S
+from quillroad.server import RECEIVE_S, UNHEARD_S, UNREAD_S
 from tests.net import (
     Client,
     FakeHost,
@@ -74,6 +74,22 @@
         assert got == [b"/status-check/k%d" % number for number in range(60)]
 
 
+@on_loop
+async def test_a_drain_answers_what_was_sent_ahead() -> None:
+    """`Connection: close` on the first answer would drop the rest, which was taken already."""
+    async with world(hang) as w, w.client() as client:
+        client.send()
+        client.send()
+        await w.hosts[0].came.get()
+        w.gateway.server.draining = True
+        w.hosts[0].behave = serve_ok
+        w.hosts[0].writers[0].write(answer(b"first"))
+        first, second = await client.receive(), await client.receive()
+        assert (first.body, first.headers["connection"]) == (b"first", "keep-alive")
+        assert (second.status, second.headers["connection"]) == (200, "close")
+        assert await at_end(client) == b""
+
+
 # Rule 1: one final answer.
 
 
@@ -354,6 +370,7 @@
         (b"POST /audit/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n" + b"x" * 0x11000, 413),
         (b"GET /status-check/k HTTP/1.1\r\nX: " + b"y" * 20_000, 431),
         (b"GET /" + b"y" * 400_000, 431),
+        (b"POST /audit/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + b"e" * 900_000, 413),
         (b"CONNECT a:1 HTTP/1.1\r\n\r\n", 404),
     ],
 )
@@ -405,6 +422,34 @@
         assert w.hosts[0].seen[0].body == b"abc"
 
 
+@on_loop
+async def test_a_trailer_is_no_header() -> None:
+    async with world(serve_ok) as w, w.client() as client:
+        head = b"POST /audit/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + GOOD + b"\r\n"
+        client.writer.write(head + b"3\r\nabc\r\n0\r\nRequest-Id: other\r\nX: y\r\n\r\n")
+        assert (await client.receive()).status == 200
+        seen = w.hosts[0].seen[0].headers
+        assert (seen["request-id"], "x" in seen) == ("z", False)
+
+
+@on_loop
+async def test_a_client_in_a_hurry_is_served_too() -> None:
+    """The margins before the deadline shrink with it: a fixed one would leave such a client no time."""
+    async with world(serve_ok) as w, w.client() as client:
+        await client.ask()
+        arrived: list[Arrived] = []
+        handle = w.gateway.engine._balancer.handle
+
+        def listen(now: int, events: list[Event]) -> Any:
+            arrived.extend(event for event in events if isinstance(event, Arrived))
+            assert not arrived or now < arrived[-1].give_up_us
+            return handle(now, events)
+
+        w.gateway.engine._balancer.handle = listen  # type: ignore[method-assign, assignment]
+        await client.ask(Request_Timeout_Ms="30")
+        assert len(arrived) == 1
+
+
 @pytest.mark.parametrize("tenant", ["stranger", None])
 @on_loop
 async def test_an_unknown_tenant_is_served_as_over_its_share(tenant: str | None) -> None:
@@ -443,23 +488,38 @@
 
 @on_loop
 async def test_idle_clients_make_room_and_the_rest_is_turned_away() -> None:
-    """Counting the descriptors keeps an accept from failing where nobody can be answered."""
+    """Counting the descriptors keeps an accept from failing where nobody can be answered. A connection that
+    has not been heard yet may have its first request on the way: ending it would lose that one."""
     async with world(hang, limits={"sockets": 24 + 8}) as w:
         idle = await w.client().__aenter__()
-        await until(lambda: len(w.gateway.server.connections) == 1)
+        assert (await idle.ask("/up", method="GET")).status == 200
         busy = []
-        for number in range(4):
+        for number in range(3):
             busy.append(await w.client().__aenter__())
             busy[-1].send()
             await until(lambda number=number: len(w.gateway.engine._ids) == number + 1)  # type: ignore[misc]
+        fresh = [await w.client().__aenter__() for _ in range(3)]
         assert await at_end(idle) == b""
-        one_more = await w.client().__aenter__()
-        got = await one_more.ask()
-        assert (got.status, got.headers["connection"]) == (503, "close")
+        await until(lambda: len(w.gateway.server.connections) == 6)
+        for client in fresh[:2]:
+            got = await client.ask()
+            assert (got.status, got.headers["connection"]) == (503, "close")
         for client in busy:
             client.writer.close()
 
 
+@on_loop
+async def test_a_connection_that_says_nothing_makes_room_too() -> None:
+    async with world(hang, limits={"sockets": 24 + 4}) as w:
+        silent = [await w.client().__aenter__() for _ in range(2)]
+        await until(lambda: len(w.gateway.server.connections) == 2)
+        for connection in w.gateway.server.connections:
+            connection.last_change -= UNHEARD_S + 1
+        async with w.client() as client:
+            assert (await client.ask("/up", method="GET")).status == 200
+            assert await at_end(silent[0]) == b""
+
+
 @on_loop
 async def test_nothing_is_left_of_a_request() -> None:
     async with world(serve_ok, break_off) as w:
