--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -26,6 +26,7 @@
     Departed,
     Event,
     Fail,
+    ListKind,
     Log,
     Outcome,
     Refuse,
@@ -149,11 +150,12 @@
 
     def update(self, servers: ServerList, names: dict[int, str], addresses: dict[int, Address]) -> None:
         """A list takes effect on the sockets first: what it ends must not get a byte more."""
-        whole = servers.kind.value != 2
+        whole = servers.kind is not ListKind.CHANGES
+        named = {s.id for s in servers.servers}
         told = {s.id: s for s in servers.servers if s.state is not State.GONE}
         for number, host in list(self.hosts.items()):
             line = told.get(number)
-            gone = line is None and (whole or any(s.id == number for s in servers.servers))
+            gone = line is None and (whole or number in named)
             moved = line is not None and addresses[number] != host.address
             if gone or moved:
                 del self.hosts[number]
