--- a/quillroad/__main__.py
+++ b/quillroad/__main__.py
@@ -1,4 +1,4 @@
-"""Start, wiring, signals and exit of one gateway: `python -m quillroad`."""
+"""Start, wiring, signals, reload and exit of one gateway: `python -m quillroad`."""
 
 from __future__ import annotations
 
@@ -8,11 +8,12 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 
 import uvloop
 
 from pinetrack.balance import Balancer
-from quillroad.config import Config, ConfigError, Descriptors, load
+from quillroad.config import Config, ConfigError, Descriptors, changed_fields, load, reload
 from quillroad.discovery import Discovery
 from quillroad.engine import Engine
 from quillroad.server import Server
@@ -60,15 +61,30 @@
         self.discovery = Discovery(config, self.engine.update)
         self.server = Server(loop, config, self.engine, descriptors, self.upstream.drop_oldest_idle)
         self.port = 0
-        self._tasks: list[asyncio.Task[None]] = []
+        self._sweeper: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Serve by the known list at once."""
         self.discovery.start_from(self.config.known)
         self.port = await self.server.listen(*self.config.listen)
-        self._tasks = [self.loop.create_task(work) for work in (self.discovery.run(), self._sweep())]
+        self.discovery.start()
+        self._sweeper = self.loop.create_task(self._sweep())
         log.info("%s listens on %s:%d", self.config.name, self.config.listen[0], self.port)
 
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Take over what a new file changes: the address of discovery. List, connections and open requests
+        stay as they are, also while draining; a file that cannot work changes nothing."""
+        try:
+            config = reload(environment)
+        except ConfigError as error:
+            log.error("the old configuration stands: %s", error)
+            return
+        if (left := changed_fields(self.config, config)):
+            log.warning("these fields change with a restart only: %s", ", ".join(left))
+        if config.discovery != self.discovery.address:
+            log.info("discovery is now at %s:%d", *config.discovery)
+            self.discovery.follow(config.discovery)
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -92,8 +108,9 @@
 
     def stop(self) -> None:
         self.server.stop_listening()
-        for task in self._tasks:
-            task.cancel()
+        self.discovery.stop()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
 
 
 async def serve(config: Config) -> None:
@@ -104,6 +121,7 @@
         loop.add_signal_handler(number, stop.set)
     gateway = Gateway(config, loop)
     await gateway.start()
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
     gc.collect()
     gc.freeze()  # what is here at the start stays; collections need not walk it each time
     await stop.wait()
@@ -115,6 +133,7 @@
 
 def main() -> int:
     start_log()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a gateway that can reload, it would kill
     try:
         config = load(os.environ)
     except ConfigError as error:
--- a/quillroad/config.py
+++ b/quillroad/config.py
@@ -1,4 +1,4 @@
-"""What a gateway is told at its start: `GW_*` and the JSON file, as typed values.
+"""What a gateway is told at its start and at a reload: `GW_*` and the JSON file, as typed values.
 
 Everything is checked here, once, so that a gateway that came up has no missing value to trip over at night.
 """
@@ -8,7 +8,7 @@
 import json
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -102,7 +102,7 @@
         data = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"GW_CONFIG: cannot read {path}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"GW_CONFIG: {path} is not JSON: {error}") from None
     if not isinstance(data, dict):
         raise ConfigError(f"GW_CONFIG: {path} holds no JSON object")
@@ -129,3 +129,15 @@
         / 1e6,
         idle_s=_above_zero(limits, "conn_idle", "settings.limits.conn_idle", 15_000_000) / 1e6,
     )
+
+
+def reload(environment: Mapping[str, str]) -> Config:
+    """The file as it is now. Its `discovery` counts, not the environment's, which is that of the start."""
+    return load({name: value for name, value in environment.items() if name != "GW_DISCOVERY"})
+
+
+def changed_fields(old: Config, new: Config) -> list[str]:
+    """What differs and a reload does not take over. Seed and known list are for a start alone."""
+    kept = {"discovery", "known", "seed"}
+    names = [field.name for field in fields(Config) if field.name not in kept]
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
--- a/quillroad/discovery.py
+++ b/quillroad/discovery.py
@@ -43,14 +43,16 @@
     """One watch after another."""
 
     def __init__(self, config: Config, update: Update) -> None:
-        self._address, self._update = config.discovery, update
+        self.address, self._update = config.discovery, update
         self._zones = {name: i for i, name in enumerate(config.zones)}
         self._kinds = {name: i for i, name in enumerate(config.kinds)}
         self._generation = 0
+        self._whole_due = False  # the version held is another discovery's
         self._buffer = b""
         self._status = 0
         self._ended = False
         self._parser: httptools.HttpResponseParser | None = None
+        self._task: asyncio.Task[None] | None = None
 
     def start_from(self, known: Mapping[str, Any]) -> None:
         """Serve by the list as this gateway last had it until discovery's first answer."""
@@ -60,7 +62,27 @@
             except Malformed as error:
                 raise ConfigError(f"known: {error}") from None
 
-    async def run(self) -> None:
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def follow(self, address: Address) -> None:
+        """Watch another discovery from now on; the list held stands until its first answer.
+
+        The old watch takes no step more, so that nothing left in its buffers can undo what the new one tells.
+        Generations of two discoveries cannot be compared: the new one is asked for its whole list. (Changes
+        from version 0 on are no substitute: they leave out what was there at version 0.)
+        """
+        self.address, self._whole_due = address, True
+        if self._task is not None:
+            self.stop()
+            self.start()
+
+    async def _run(self) -> None:
         """Watch for ever; a broken, silent or malformed watch is begun again, later each time."""
         wait_s = BACKOFF_S
         while True:
@@ -82,14 +104,21 @@
 
     async def _watch(self) -> bool:
         """One watch until its connection ends; whether it brought a list."""
+        if self._whole_due:
+            await self._ask("/discovery/hosts")
+            if self._whole_due:
+                raise Malformed("no list")
+        return await self._ask(f"/discovery/hosts?watch=1&from={self._generation}")
+
+    async def _ask(self, target: str) -> bool:
+        """Take each line of an answer as it comes; whether there was one."""
         heard = False
         async with asyncio.timeout(CONNECT_S):
-            reader, writer = await asyncio.open_connection(*self._address)
+            reader, writer = await asyncio.open_connection(*self.address)
         try:
             self._buffer, self._status, self._ended = b"", 0, False
             self._parser = httptools.HttpResponseParser(self)
-            target = f"/discovery/hosts?watch=1&from={self._generation}"
-            host = f"{self._address[0]}:{self._address[1]}"
+            host = f"{self.address[0]}:{self.address[1]}"
             writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
             while not self._ended:
                 async with asyncio.timeout(SILENCE_S):
@@ -100,6 +129,8 @@
                 if self._status not in (0, 200):
                     raise Malformed(f"status {self._status}")
                 *lines, self._buffer = self._buffer.split(b"\n")
+                if self._ended:
+                    lines.append(self._buffer)  # a whole list need not end in a line's end
                 if len(self._buffer) > LINE_LIMIT:
                     raise Malformed("a line without end")
                 for line in lines:
@@ -129,7 +160,9 @@
             raise Malformed(f"not JSON: {line[:60]!r}") from None
         if not isinstance(data, dict):
             raise Malformed(f"no object: {line[:60]!r}")
-        self._take(data, ListKind.FULL if data.get("reset") else ListKind.CHANGES)
+        whole = data.get("reset") or self._whole_due
+        self._take(data, ListKind.FULL if whole else ListKind.CHANGES)
+        self._whole_due = False
 
     def _take(self, data: Mapping[str, Any], kind: ListKind) -> None:
         generation, entries = data.get("generation"), data.get("instances")
--- a/tests/net.py
+++ b/tests/net.py
@@ -157,6 +157,7 @@
         self.generation = 1
         self.first: bytes = self.line(True, *entries)
         self.asked: asyncio.Queue[str] = asyncio.Queue()
+        self.ended: asyncio.Queue[int] = asyncio.Queue()  # numbers of watches that the gateway ended
         self.watches: list[asyncio.StreamWriter] = []
 
     def line(self, whole: bool, *entries: dict[str, Any]) -> bytes:
@@ -171,11 +172,18 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             message = await read_message(reader)
+            target = message.first.split()[1]
+            if "watch=1" not in target:
+                writer.write(answer(self.first.strip()))
+                self.asked.put_nowait(target)
+                return
+            number = len(self.watches)
             self.watches.append(writer)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.send(self.first)
-            self.asked.put_nowait(message.first.split()[1])
+            self.asked.put_nowait(target)
             await reader.read()
+            self.ended.put_nowait(number)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
@@ -11,6 +12,7 @@
     Client,
     FakeDiscovery,
     FakeHost,
+    World,
     alone,
     answer,
     hang,
@@ -107,3 +109,52 @@
 def test_numbers_of_hosts_are_the_same_everywhere() -> None:
     assert discovery.server_number("s-5be2a07c") == discovery.server_number("s-5be2a07c")
     assert discovery.server_number("s-5be2a07c") != discovery.server_number("s-5be2a07d")
+
+
+async def successor(w: World, *entries: dict[str, Any]) -> FakeDiscovery:
+    """Another discovery, whose generations begin anew, and a gateway told to watch it."""
+    new = await FakeDiscovery(*entries).start()
+    w.gateway.discovery.follow(("127.0.0.1", new.port))
+    return new
+
+
+@on_loop
+async def test_another_discovery_is_asked_for_its_whole_list() -> None:
+    """Its generations may be lower: `from=9` there would leave out what happened up to its ninth, and
+    `from=0` what was there before its first."""
+    async with world(serve_ok) as w, w.client() as client:
+        w.discovery.generation = 8
+        w.discovery.tell(w.hosts[0].entry(weight=2.0))
+        await until(lambda: w.gateway.discovery._generation == 9)
+        other = await FakeHost("s-other").start()
+        new = await successor(w, w.hosts[0].entry(lifecycle="draining"), other.entry())
+        assert await new.asked.get() == "/discovery/hosts"
+        new.first = b"\n"
+        assert (await new.asked.get()).endswith("from=1")
+        await until(lambda: len(w.gateway.engine.hosts) == 2)
+        assert (await client.ask()).status == 200
+        assert (len(w.hosts[0].seen), len(other.seen)) == (0, 1)
+
+
+@on_loop
+async def test_the_old_watch_cannot_undo_what_the_new_one_tells() -> None:
+    """A line that lies read but not taken at the move, and whatever the old discovery says after it."""
+    async with world(serve_ok) as w, w.client() as client:
+        other = await FakeHost("s-other").start()
+        w.discovery.tell(w.hosts[0].entry(lifecycle="removed"))
+        new = await successor(w, w.hosts[0].entry(), other.entry())
+        await until(lambda: len(new.watches) == 1)
+        assert await w.discovery.ended.get() == 0
+        assert all(host.ready for host in w.gateway.engine.hosts.values())
+        assert (await client.ask()).status == 200
+
+
+@on_loop
+async def test_the_list_stands_until_another_discovery_answers() -> None:
+    async with world(serve_ok) as w, w.client() as client:
+        assert (await client.ask()).status == 200
+        silent = await FakeHost("discovery", hang).start()
+        w.gateway.discovery.follow(silent.address)
+        await silent.came.get()
+        assert (await client.ask()).status == 200
+        assert w.hosts[0].closed.empty()  # its connection stands too
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -168,3 +168,52 @@
     path.write_text(json.dumps(config_data(1)))
     config = load({"GW_CONFIG": str(path), "GW_NAME": "n7", "GW_LISTEN": "127.0.0.9:80"})
     assert (config.name, config.listen, config.discovery) == ("n7", ("127.0.0.9", 80), ("127.0.0.1", 1))
+
+
+@on_loop
+async def test_sighup_moves_the_watch_and_keeps_all_else(tmp_path: Path) -> None:
+    """SIGHUP used to kill the process. What is open is answered on the connections that were open."""
+    host = await FakeHost(behave=hang).start()
+    process, port = await started(tmp_path, host)
+    successor = await FakeDiscovery(host.entry()).start()
+    async with Client(port) as client:
+        client.send()
+        await host.came.get()
+        data = config_data(successor.port, listen=f"127.0.0.1:{port}")
+        (tmp_path / "config.json").write_text(json.dumps(data))
+        process.send_signal(signal.SIGHUP)
+        assert await successor.asked.get() == "/discovery/hosts"
+        host.writers[0].write(answer(b"still here"))
+        assert (await client.receive()).body == b"still here"
+        host.behave = serve_ok
+        assert (await client.ask()).status == 200
+        assert host.closed.empty()
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)  # harmless while draining
+    assert (await ended(process))[0] == 0
+
+
+@on_loop
+async def test_a_reload_goes_by_the_file_and_a_bad_file_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    path = tmp_path / "config.json"
+    async with world(serve_ok) as w, w.client() as client:
+        environment = {"GW_CONFIG": str(path), "GW_DISCOVERY": f"127.0.0.1:{w.discovery.port}"}
+        for bad in ("{", json.dumps(config_data(1, discovery="nowhere")), "[" * 200_000):
+            path.write_text(bad)
+            caplog.clear()
+            with caplog.at_level("INFO", "quillroad"):
+                w.gateway.reload(environment)
+            assert len(caplog.records) == 1
+            assert "old configuration stands" in caplog.text
+        assert (await client.ask()).status == 200
+        successor = await FakeDiscovery(w.hosts[0].entry()).start()
+        path.write_text(json.dumps(config_data(successor.port, limits={"sockets": 99})))
+        with caplog.at_level("INFO", "quillroad"):
+            w.gateway.reload(environment)
+        assert "with a restart only: sockets" in caplog.text
+        await until(lambda: len(successor.watches) == 1)
+        w.gateway.reload(environment)  # nothing new: the watch goes on
+        assert (await client.ask()).status == 200
+        assert len(successor.watches) == 1
