--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -410,7 +410,8 @@
             self.pace[s.spec.kind] += (pace - self.pace[s.spec.kind]) * SMOOTH
             route.samples += 1
             if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
-                route.cost_us += (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
+                step = (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
+                route.cost_us = max(1.0, route.cost_us + step)  # what it divides is never 0
             aim_us = route.spec.aim_us or route.latency.percentile(0.5) or event.elapsed_us
             route.latency.append(event.elapsed_us)
             if event.elapsed_us <= aim_us:
--- a/quillroad/__main__.py
+++ b/quillroad/__main__.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger("quillroad")
 
-SWEEP_S = 0.5
+SWEEP_S = 0.25
 ACCEPT_S = 0.55  # after SIGTERM: the front sends connections for up to 0.4 s more
 FLUSH_S = 0.1  # for the last answers to leave
 LOG_LINES, LOG_S = 50, 1.0  # lines in a stretch of time: a storm of errors must not become a storm of lines
--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -163,6 +163,9 @@
         for number, server in told.items():
             current = self.hosts.get(number) or Host(names[number], addresses[number])
             self.hosts[number] = current
+            if current.started_us != server.started_us:
+                current.started_us = server.started_us
+                current.drop_idle()  # they lead to the process before, and may hang for ever
             if server.state is State.DRAINING:
                 self._upstream.retire(current)
             else:
@@ -193,6 +196,7 @@
             actions = self._balancer.actions
             if isinstance(event, Arrived | AttemptDone | StreamStarted):
                 self._fail(event.request)
+                self._events.append(Departed(event.request))  # or the module would keep it for ever
         for action in actions:
             try:
                 self._perform(action)
@@ -264,7 +268,7 @@
         opened.attempts[number] = None
         if answer is not None and opened.reply is not None:
             self._answer(opened, Reply(SERVED, answer))
-        elapsed_us = int((self._loop.time() - started) * 1e6)
+        elapsed_us = max(1, int((self._loop.time() - started) * 1e6))  # the loop's clock counts milliseconds
         self.feed(AttemptDone(opened.number, number, outcome, elapsed_us, opened.reply is None))
         self._forget(opened)
 
--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -33,14 +33,36 @@
     b"request-timeout-ms proxy-authorization proxy-authenticate".split()
 )
 MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # with a chunked body's framing
-BACKLOG = 16  # requests that a client may send ahead on one connection
-RECEIVE_S = 10.0  # for a request to come in whole
-UNHEARD_S = 1.0  # after which a new connection's first request would have been read
-UNREAD_S = 10.0  # for a client to take its answer
-IDLE_S = 75.0
+AHEAD = 2  # requests parsed ahead on one connection: clients send one at a time
+SLICE = 2048  # bytes parsed at a time, a few requests: one read can hold hundreds
+RECEIVE_S = 2.0  # for a request to come in whole, from its first byte, and for a first one to begin at all
+UNHEARD_S = 0.2  # after which a new connection's first request would have been read, however busy the loop
+UNREAD_S = 5.0  # for a client to take its answer
+IDLE_S = 60.0  # connections are worth keeping, and the longest idle make room when room is needed
 LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # after an error, so that a client still sending can read why
 
 
+def check_framing(version: str, headers: list[tuple[bytes, bytes]]) -> None:
+    """Raise `_Bad` unless it is beyond doubt where the request ends. Guards against one hidden in the body of
+    another: a host that goes by the other of two headers would run it. The parser has checks of its own, but
+    what it is lenient about changes with its version."""
+    framing = [(n.lower().replace(b"_", b"-").strip(), n, v) for n, v in headers if n[:1] in b"cCtT"]
+    lengths = [(n, v) for plain, n, v in framing if plain == b"content-length"]
+    codings = [(n, v) for plain, n, v in framing if plain == b"transfer-encoding"]
+    if any(b"_" in name or name != name.strip() for name, _ in lengths + codings):
+        raise _Bad(400, "a framing header spelt oddly")
+    if len(lengths) + len(codings) > 1:
+        raise _Bad(400, "two framing headers")
+    if lengths and not (lengths[0][1].isdigit() and len(lengths[0][1]) < 20):
+        raise _Bad(400, "bad Content-Length")
+    if codings and (codings[0][1].lower() != b"chunked" or version != "1.1"):
+        raise _Bad(400, "unknown Transfer-Encoding")
+    if version not in ("1.0", "1.1"):
+        raise _Bad(400, "unknown version of HTTP")
+    if lengths and int(lengths[0][1]) > BODY_LIMIT:
+        raise _Bad(413, "body too long")
+
+
 class _Bad(Exception):
     """What came is no request; `status` says why."""
 
@@ -62,12 +84,13 @@
     def __init__(self, server: Server) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._unfed = b""  # read, not parsed yet
         self._backlog: deque[_Pending] = deque()
         self._serving = False
         self._opened: OpenRequest | None = None
         self._keep = True
-        self._answered = self._advancing = self._paused = self._unread = self._ended = self._partial = False
+        self._advancing = self._paused = self._unread = self._ended = self._partial = False
         self._discarded = self._complete = 0
         self._bad: _Bad | None = None
         self.last_change = server.loop.time()  # what the limits on time count from
@@ -91,6 +114,7 @@
         self._transport = None
         self._ended = True
         self._backlog.clear()
+        self._unfed, self._parser = b"", None  # the parser refers back: a cycle would wait for the collector
         self._server.left(self)
         if self._opened is not None:
             opened, self._opened = self._opened, None
@@ -110,28 +134,37 @@
             if self._discarded > LINGER_BYTES:
                 self.abort()
             return
-        complete = self._complete
-        try:
-            self._parser.feed_data(data)
-            if self._partial and complete == self._complete:
-                # A header without end, or an endless extension of a chunk, reaches no callback.
-                self._received += len(data)
-                if self._head and self._received > HEAD_LIMIT:
-                    raise _Bad(431, "head too long")
-                if self._received > MESSAGE_LIMIT:
-                    raise _Bad(413, "request too long")
-        except httptools.HttpParserUpgrade:
-            # The offer is not taken up: the request is served, and what follows it is not HTTP any more.
-            self._ended, self._backlog[-1].keep = True, False
-        except (httptools.HttpParserError, _Bad) as error:
-            bad = error if isinstance(error, _Bad) else self._bad or _Bad(400, f"not HTTP: {error}")
-            self._ended = True
-            self._backlog.append(_Pending(None, bad.status, False, str(bad)))
-        if len(self._backlog) >= BACKLOG and not self._paused and self._transport is not None:
-            self._paused = True
-            self._transport.pause_reading()
+        self._unfed = self._unfed + data if self._unfed else data
         self._advance()
 
+    def _feed(self) -> None:
+        """Parse what was read, no further ahead than a client needs; the rest waits, as the client must."""
+        while self._unfed and len(self._backlog) < AHEAD and not self._ended and self._parser is not None:
+            data, self._unfed = self._unfed[:SLICE], self._unfed[SLICE:]
+            complete = self._complete
+            try:
+                self._parser.feed_data(data)
+                if self._partial and complete == self._complete:
+                    # A header without end, or an endless extension of a chunk, reaches no callback.
+                    self._received += len(data)
+                    if self._head and self._received > HEAD_LIMIT:
+                        raise _Bad(431, "head too long")
+                    if self._received > MESSAGE_LIMIT:
+                        raise _Bad(413, "request too long")
+            except httptools.HttpParserUpgrade:
+                # The offer is not taken up: the request is served, and what follows is not HTTP any more.
+                self._ended, self._backlog[-1].keep = True, False
+            except (httptools.HttpParserError, _Bad) as error:
+                bad = error if isinstance(error, _Bad) else self._bad or _Bad(400, f"not HTTP: {error}")
+                self._ended = True
+                self._backlog.append(_Pending(None, bad.status, False, str(bad)))
+        if self._ended:
+            self._unfed = b""
+        wait = bool(self._unfed) and not self._ended
+        if wait != self._paused and self._transport is not None:
+            self._paused = wait
+            (self._transport.pause_reading if wait else self._transport.resume_reading)()
+
     # The parser's side.
 
     def on_message_begin(self) -> None:
@@ -139,6 +172,7 @@
         self._partial = True
         if not self._serving:
             self.last_change = self._since
+        self._server.awake(self)
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -162,9 +196,11 @@
 
     def on_headers_complete(self) -> None:
         self._head, self._size = False, 0
-        for name, value in self._headers:
-            if name.lower() == b"content-length" and int(value) > BODY_LIMIT:
-                self._reject(413, "body too long")
+        assert self._parser is not None
+        try:
+            check_framing(self._parser.get_http_version(), self._headers)
+        except _Bad as bad:
+            self._reject(bad.status, str(bad))
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
@@ -174,6 +210,7 @@
 
     def on_message_complete(self) -> None:
         self._partial, self._complete = False, self._complete + 1
+        assert self._parser is not None
         keep = self._parser.should_keep_alive()
         try:
             method = self._parser.get_method()
@@ -196,13 +233,12 @@
             return
         self._advancing = True
         try:
+            self._feed()
             while self._backlog and not self._serving and not self._unread and self._transport is not None:
                 self._serve(self._backlog.popleft())
+                self._feed()
         finally:
             self._advancing = False
-        if self._paused and len(self._backlog) < BACKLOG // 2 and self._transport is not None:
-            self._paused = False
-            self._transport.resume_reading()
 
     def _serve(self, pending: _Pending) -> None:
         self._serving, self._keep = True, pending.keep
@@ -231,13 +267,13 @@
 
     def answer(self, reply: Reply) -> None:
         """The one place that writes to a client."""
-        self._opened, self._serving, self._answered = None, False, True
+        self._opened, self._serving = None, False
         self.last_change = self._server.loop.time()
         if self._transport is None:
             return
         # What was sent ahead has been taken and is owed an answer: the last one says `close`.
-        leaving = self._server.draining or self._server.crowded()
-        keep = self._keep and (bool(self._backlog) or not leaving)
+        ahead = bool(self._backlog) or bool(self._unfed) or self._partial
+        keep = self._keep and (ahead or not self._server.draining)
         lines = [b"HTTP/1.1 %d %b" % (reply.status, REASONS[reply.status])]
         body = b""
         if reply.answer is not None:
@@ -250,7 +286,10 @@
         lines.append(b"Connection: keep-alive" if keep else b"Connection: close")
         self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
         if keep:
-            self._server.loop.call_soon(self._advance)
+            if ahead:
+                self._server.loop.call_soon(self._advance)
+            else:
+                self._server.rests(self)
         else:
             self._close()
 
@@ -259,7 +298,11 @@
         the answer along, so the sending side ends first and what still comes is thrown away for a while."""
         self._ended = True
         self._backlog.clear()
+        self._unfed = b""
         if self._transport is not None:
+            if self._paused:
+                self._paused = False
+                self._transport.resume_reading()
             if self._transport.can_write_eof():
                 self._transport.write_eof()
             self._server.loop.call_later(LINGER_S, self.abort)
@@ -268,18 +311,14 @@
         return False  # the client has closed: the transport closes too, and an open request departs
 
     def abort(self) -> None:
+        self._server.closes(self)
         if self._transport is not None:
             self._transport.abort()
 
     # What the server asks.
 
-    def spare(self, now: float) -> bool:
-        """Whether it may be ended to make room. Not one that is new: its first request may be here and not
-        read yet, and a client sends only what crosses a close between requests a second time."""
-        return self.idle() and (self._answered or now - self.last_change > UNHEARD_S)
-
     def idle(self) -> bool:
-        return not (self._serving or self._backlog or self._partial or self._ended)
+        return not (self._serving or self._backlog or self._unfed or self._partial or self._ended)
 
     def sweep(self, now: float) -> None:
         """Ends what takes too long. Guards the descriptors against clients that come and say nothing."""
@@ -290,7 +329,7 @@
             self._ended = True
             self._backlog.append(_Pending(None, 408, False, "request not whole in time"))
             self._advance()
-        elif self.idle() and waited > (IDLE_S if self._answered else RECEIVE_S):
+        elif self.idle() and waited > (IDLE_S if self._complete else RECEIVE_S):
             self.abort()
 
 
@@ -314,6 +353,8 @@
         self.retry_after_us = config.settings.max_retry_after_us if config.settings.retry_after else 0
         self._tenants = {name: i for i, name in enumerate(config.tenants)}
         self.connections: dict[ClientConnection, None] = {}
+        self._unheard: dict[ClientConnection, None] = {}  # no byte of a request yet, the oldest first
+        self._resting: dict[ClientConnection, None] = {}  # between requests, the longest idle first
         self.draining = False
         self._listener: asyncio.Server | None = None
 
@@ -328,24 +369,44 @@
         return 200 if self.engine.ready and not self.draining else 503
 
     def joined(self, connection: ClientConnection) -> None:
+        """Past the clients' part of the descriptors each new connection ends another. Guards against floods:
+        first go those that never said anything, then those between two requests, never one with a request."""
         self._descriptors.used += 1
-        if len(self.connections) >= self._most or self._descriptors.spare() <= 0:
-            now = self.loop.time()
-            idle = [c for c in self.connections if c.spare(now)]
-            if idle:
-                min(idle, key=lambda c: c.last_change).abort()
-            elif self._descriptors.spare() <= -RESERVED // 2 and not self._make_room():
-                connection.abort()
-        self.connections[connection] = None
+        self.connections[connection] = self._unheard[connection] = None
+        if len(self.connections) > self._most:
+            oldest = next(iter(self._unheard))
+            flooded = len(self.connections) > self._most + self._most // 4
+            if self.loop.time() - oldest.last_change > UNHEARD_S:
+                oldest.abort()
+            elif self._resting:
+                next(iter(self._resting)).abort()
+            elif flooded and oldest is not connection:
+                oldest.abort()
+        if self._descriptors.spare() <= -RESERVED // 2 and not self._make_room():
+            connection.abort()
+
+    def awake(self, connection: ClientConnection) -> None:
+        """A request has begun: the connection is not ended to make room."""
+        self._unheard.pop(connection, None)
+        self._resting.pop(connection, None)
+
+    def rests(self, connection: ClientConnection) -> None:
+        self._resting[connection] = None
+
+    def closes(self, connection: ClientConnection) -> None:
+        """Ended, though its descriptor is in use until the loop comes round to it."""
+        self.connections.pop(connection, None)
+        self.awake(connection)
 
     def left(self, connection: ClientConnection) -> None:
         self._descriptors.used -= 1
-        self.connections.pop(connection, None)
+        self.closes(connection)
 
     def crowded(self) -> bool:
         """Whether there are no descriptors left to serve one more: then it is turned away, not started. Part
         of the reserved ones serves to tell those clients."""
-        return len(self.connections) > self._most
+        busy = len(self.connections) - len(self._unheard) - len(self._resting)
+        return busy > self._most
 
     def check(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes, since: float
--- a/quillroad/upstream.py
+++ b/quillroad/upstream.py
@@ -2,11 +2,15 @@
 
 An HTTP client library would resend on a broken kept-alive connection by itself and hide whether the last
 byte was written. Either would break the rule on duplicated effects, so this file speaks HTTP itself.
+
+Hosts are not trusted to keep to HTTP: an answer that is too long, does not end or cannot be read is a failed
+attempt that may have run, and what comes beside an answer never reaches another request.
 """
 
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple, cast
@@ -18,6 +22,9 @@
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
+ANSWER_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # all bytes of an answer: a chunk's extension reaches no callback
+INTERIM_LIMIT = 8  # 1xx answers ahead of the one that counts; none or one is usual
+SETTLE_S = 0.02  # after an answer, before its connection is used again: time for what comes right behind it
 IDLE_PART = 0.5  # part of the hosts' idle time after which a connection is dropped: they must never be first
 
 
@@ -33,9 +40,15 @@
 
     def __init__(self, name: str, address: Address) -> None:
         self.name, self.address, self.ready = name, address, True
+        self.started_us: int | None = None
+        self.heard = 0.0  # loop time of its last byte
         self.idle: list[HostConnection] = []  # the most recently used last
         self.connecting: set[Attempt] = set()
 
+    def drop_idle(self) -> None:
+        for connection in list(self.idle):
+            connection.drop()
+
 
 Done = Callable[[Outcome, Answer | None], None]
 
@@ -44,7 +57,7 @@
     """One copy of a request on its way to one host. `done` is called exactly once, never from `start`."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, timeout_s: float, done: Done) -> None:
-        self.host = host
+        self.host, self.began = host, loop.time()
         self._done: Done | None = done
         self._timer = loop.call_later(max(0.0, timeout_s), self._end, Outcome.TIMEOUT)
         self.connection: HostConnection | None = None
@@ -66,6 +79,10 @@
         self.finish(outcome)
         if connection is not None:
             connection.drop()
+            if self.host.heard < self.began:
+                # Not a byte from it in all that time: it may have vanished, and then every connection kept to
+                # it would hang as long again. A new one tells within the limit for connects.
+                self.host.drop_idle()
         elif task is not None:
             task.cancel()
 
@@ -95,14 +112,21 @@
         self.idle_since = 0.0
         self.counted = True  # holds a descriptor, from the connect on
         self._unsent = False
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._poll = select.poll()
+        self._stall: asyncio.TimerHandle | None = None
         self._clear()
 
     def _clear(self) -> None:
+        self._received = self._interim = 0
+        self._begin()
+
+    def _begin(self) -> None:
         self._headers: dict[bytes, bytes] = {}
         self._size = 0
         self._body: list[bytes] = []
-        self._complete = self._excess = self._keep = False
+        self._head = True
+        self._partial = self._complete = self._excess = self._keep = False
         self._status = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -110,6 +134,7 @@
         # With the marks at 0 `pause_writing` stands for "bytes left in this process", `resume_writing` for
         # "the kernel has the last byte": what parts a failed connection from a reset.
         self.transport.set_write_buffer_limits(high=0)
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def pause_writing(self) -> None:
         self._unsent = True
@@ -131,36 +156,58 @@
     def closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
+    def unread(self) -> bool:
+        """Whether bytes, or the end, have come that this process has not read yet: a close, or more than
+        belonged to the last answer, which would be taken for the next one's."""
+        return bool(self._poll.poll(0))
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.upstream.forget(self)
+        self._quiet()
+        self._parser = None  # it refers back to this: a cycle would wait for the collector
         if self.attempt is not None:
             self.attempt.finish(Outcome.CONNECT_FAILED if self._unsent else Outcome.RESET)
 
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
-        if attempt is None:  # bytes that no request asked for: the next answer could not be told from them
-            self.drop()
+        if attempt is None or self._parser is None:
+            self.drop()  # bytes that no request asked for: the next answer could not be told from them
             return
+        self.host.heard = self.upstream.now()
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._excess = True
         if self._complete:
+            self._quiet()
             outcome = self._outcome()
             answer = None
             if outcome is Outcome.SUCCESS:
                 answer = Answer(b"".join(self._body), self._headers.get(b"content-type"))
+            self.attempt = attempt.connection = None
             if self._keep and not self._excess and not self._unsent:
-                self.attempt = attempt.connection = None
                 self.upstream.release(self)
             else:
-                self.attempt = attempt.connection = None
                 self.drop()
             attempt.finish(outcome, answer)
-        elif self._excess:
-            # What cannot be read may have run, and nothing later on this connection can be trusted.
-            attempt.finish(Outcome.ERROR)
-            self.drop()
+        elif self._excess or self._received > (HEAD_LIMIT if self._head else ANSWER_LIMIT):
+            self._spoilt()
+        elif self._partial and self._stall is None:
+            self._stall = self.upstream.later(self._spoilt)
+
+    def _spoilt(self) -> None:
+        """The answer cannot be read, or does not end: it may have run, and nothing later on this connection
+        can be trusted. Hosts write an answer at once; a rest that does not follow never will."""
+        self._quiet()
+        if self.attempt is not None:
+            self.attempt.finish(Outcome.ERROR)
+        self.drop()
+
+    def _quiet(self) -> None:
+        if self._stall is not None:
+            self._stall.cancel()
+            self._stall = None
 
     def _outcome(self) -> Outcome:
         if self._status == 200:
@@ -174,18 +221,24 @@
     def on_message_begin(self) -> None:
         if self._complete:
             self._excess = True
+        else:
+            self._begin()
+            self._partial = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._complete:
-            return
+        if self._complete or not self._head:
+            return  # more than the answer, or a trailer
         self._size += len(name) + len(value)
         if self._size > HEAD_LIMIT:
             raise ValueError("head too long")
         self._headers[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
-        if not self._complete:
-            self._status, self._size = self._parser.get_status_code(), 0
+        if self._complete or self._parser is None:
+            return
+        self._status, self._size, self._head = self._parser.get_status_code(), 0, False
+        if int(self._headers.get(b"content-length", b"0")) > BODY_LIMIT:
+            raise ValueError("body too long")  # known from the head: not a byte of it is waited for
 
     def on_body(self, body: bytes) -> None:
         if self._complete:
@@ -196,10 +249,13 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        if self._complete:
+        if self._complete or self._parser is None:
             return
+        self._partial = False
         if 100 <= self._status < 200:  # an interim answer: the one that counts follows
-            self._clear()
+            self._head, self._interim = True, self._interim + 1
+            if self._interim > INTERIM_LIMIT:
+                raise ValueError("interim answers without end")
             return
         self._complete, self._keep = True, self._parser.should_keep_alive()
 
@@ -220,14 +276,22 @@
         self._idle: dict[HostConnection, None] = {}  # all hosts' idle ones, the longest idle first
 
     def start(self, host: Host, request: bytes, timeout_s: float, done: Done) -> Attempt:
-        """Begin an attempt on the connection used last, which is the least likely to be closing."""
+        """Begin an attempt on the connection used last that has settled, which is the least likely to be
+        closing and brings nothing that belongs to the answer before."""
         attempt = Attempt(self._loop, host, timeout_s, done)
-        while host.idle:
-            connection = host.idle.pop()
+        settled = attempt.began - SETTLE_S
+        for connection in reversed(host.idle.copy()):
+            if connection.idle_since > settled:
+                continue
+            host.idle.remove(connection)
             self._idle.pop(connection, None)
-            if not connection.closing():
-                connection.send(attempt, request)
-                return attempt
+            if connection.closing():
+                continue
+            if connection.unread():
+                connection.drop()
+                continue
+            connection.send(attempt, request)
+            return attempt
         if not host.ready or not self._room():
             self._loop.call_soon(attempt.withdraw)
             return attempt
@@ -239,6 +303,13 @@
         attempt.task.add_done_callback(partial(self._connected, connection))
         return attempt
 
+    def now(self) -> float:
+        return self._loop.time()
+
+    def later(self, act: Callable[[], None]) -> asyncio.TimerHandle:
+        """After the time that a connect may take: the settings' own measure of a network that is stuck."""
+        return self._loop.call_later(self._connect_timeout_s, act)
+
     def _connected(self, connection: HostConnection, task: asyncio.Task[None]) -> None:
         """The connect is over. In a callback, since a task cancelled before its first step runs no line of
         its own, and its descriptor would count for ever."""
@@ -301,8 +372,7 @@
         host.ready = False
         for attempt in list(host.connecting):
             attempt.withdraw()
-        for connection in list(host.idle):
-            connection.drop()
+        host.drop_idle()
 
     def sweep(self) -> None:
         """Drop what has been idle for long, before the host does and a request crosses its close."""
