--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -17,13 +17,15 @@
 UNKNOWN = 0.5  # payoff of a server nothing is known of
 EXPLORE = 0.05  # share of picks that go to the lower-scored of the two drawn
 SMOOTH = 0.12  # weight of the newest outcome in a payoff: quick to learn against steady
-EARN, TOKENS = 0.2, 20.0  # retry budget: tokens a first send earns, and the bucket's cap
+EARN, TOKENS = 0.5, 40.0  # retry budget: tokens a first send earns, and the bucket's cap
+SAVED = 0.2  # part of the recent requests that the bucket holds tokens for at most
 HEDGE_AT = 0.95  # a request slower than this percentile of its route is hedged
 BACKOFF = 1 / 64  # first wait between retry groups, as part of the aim; it doubles from there
 OUTLIER = 0.3  # a payoff below this ejects: quick to leave a bad server against patience with an unlucky one
 TRIALS = 2.0  # first ejection, in the work of one trial by each balancer sharing: rest against early return
-LIMIT = 4.0  # concurrency limit of a server, over all balancers, at first: room for large machines is learned
-ROOM, CROWD = 0.002, 0.05  # what it gains or loses by one outcome while requests wait: room against jams
+LIMIT = 3.0  # concurrency limit of a server, over all balancers, at first: room for large machines is learned
+WAITING = 1.0  # requests in a full server that wait for others: a busy machine against jams that no one sees
+ROOM = 0.001  # what the limit gains or loses by one answer: quick to learn against steady
 TARGET = 0.7  # share of attempts in time at which load shedding holds: use of the fleet against wasted work
 STEER = 4.0  # what a memory full of good or bad outcomes would move the share admitted by: speed against calm
 LEAST_ADMITTED = 0.1  # share still admitted at the worst: finding out that it is over against feeding a jam
@@ -79,7 +81,7 @@
     def __init__(self, server: ServerState, sent_us: int) -> None:
         self.server, self.sent_us = server, sent_us
         self.outcome: Outcome | None = None
-        self.alone, self.late = not server.in_flight, False
+        self.alone, self.late, self.full = not server.in_flight, False, False
 
 
 class Request:
@@ -133,7 +135,8 @@
         self.mean_cost_us = min(r.cost_us for r in self.routes)
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
         self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over route cost
-        self.limit = self.least_limit = max(1.0, LIMIT / settings.balancers)
+        self.limit = max(1.0, LIMIT / settings.balancers)  # own share of a server's concurrency limit
+        self.crowding = 1.0  # latency in a full server over the uncrowded one, smoothed
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
         self.now, self.actions = now_us, []
@@ -350,10 +353,11 @@
         route, attempt = request.route, Attempt(server, self.now)
         if not request.attempts:
             # None saves more than it earns of late: guards against many buckets that together hold a storm.
-            route.budget.earn(EARN, max(1.0, min(TOKENS, EARN * self.recent)))
+            route.budget.earn(EARN, max(1.0, min(TOKENS, SAVED * self.recent)))
         request.attempts.append(attempt)
         request.out += 1
         server.in_flight += 1
+        attempt.full = server.in_flight + 1 > self.limit
         server.turn_us -= request.cost_us
         route.due.append((self.now + route.patience_us, attempt))
         self.actions.append(Send(request.id, server.spec.id))
@@ -412,6 +416,8 @@
             if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
                 step = (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
                 route.cost_us = max(1.0, route.cost_us + step)  # what it divides is never 0
+            if attempt.full and route.samples >= 64:
+                self.resize(event.elapsed_us / route.cost_us)
             aim_us = route.spec.aim_us or route.latency.percentile(0.5) or event.elapsed_us
             route.latency.append(event.elapsed_us)
             if event.elapsed_us <= aim_us:
@@ -429,6 +435,16 @@
                     attempt.server.overdue += 1
                     self.blame(attempt.server)
 
+    def resize(self, crowding: float) -> None:
+        """Concurrency limit: a full server's latency tells how many of its requests wait for others. Guards
+        against crowding machines that lose speed by it long before a request misses its aim."""
+        self.crowding += (crowding - self.crowding) / 64
+        waiting = self.limit * self.settings.balancers * (1.0 - 1.0 / max(1.0, self.crowding))
+        if waiting > WAITING:
+            self.limit = max(1.0, self.limit * (1.0 - ROOM))
+        elif self.queued:
+            self.limit *= 1.0 + ROOM
+
     def freshness(self, s: ServerState) -> float:
         return math.exp(min(0, s.heard_us - self.now) / self.span_us)
 
@@ -441,8 +457,6 @@
         too few attempts meet their aim; guards against jams that no limit of one balancer can bound."""
         step = STEER / max(1.0 / SMOOTH, self.recent)
         self.admitted = min(1.0, max(LEAST_ADMITTED, self.admitted + (worth - TARGET) * step))
-        if self.queued:
-            self.limit = max(self.least_limit, self.limit * (1.0 + (ROOM if worth else -CROWD)))
         known, weight = self.payoff(s), max(SMOOTH, 1.0 - self.freshness(s))
         s.payoff, s.heard_us = known + (worth - known) * weight, self.now
         self.mean_payoff += (worth - self.mean_payoff) * SMOOTH
--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -39,6 +39,7 @@
 UNHEARD_S = 0.2  # after which a new connection's first request would have been read, however busy the loop
 UNREAD_S = 5.0  # for a client to take its answer
 IDLE_S = 60.0  # connections are worth keeping, and the longest idle make room when room is needed
+IDLE_ONCE_S = 2.0  # for one that has asked once only: most such clients never come back
 LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # after an error, so that a client still sending can read why
 
 
@@ -329,8 +330,10 @@
             self._ended = True
             self._backlog.append(_Pending(None, 408, False, "request not whole in time"))
             self._advance()
-        elif self.idle() and waited > (IDLE_S if self._complete else RECEIVE_S):
-            self.abort()
+        elif self.idle():
+            limits = (RECEIVE_S, IDLE_ONCE_S)  # by the requests that it has brought
+            if waited > (limits[self._complete] if self._complete < len(limits) else IDLE_S):
+                self.abort()
 
 
 class Server:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -634,3 +634,15 @@
         assert (await client.ask("/up", method="GET")).status == 200
         w.gateway.server.draining = True
         assert (await client.ask("/up", method="GET")).status == 503
+
+
+@on_loop
+async def test_a_client_that_asked_once_and_stays_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On the churn day 625 of these in a minute held memory and descriptors for good."""
+    async with world(serve_ok) as w, w.client() as once, w.client() as usual:
+        for _ in range(2):
+            assert (await usual.ask()).status == 200
+        monkeypatch.setattr(server, "IDLE_ONCE_S", -1.0)
+        assert (await once.ask()).status == 200
+        assert await at_end(once) == b""
+        assert (await usual.ask()).status == 200
