A connect cancelled as it comes up no longer costs a descriptor for good

Found by the new test that all counts return to their base after churn: used descriptors stayed one above the pool. Traced on the connection: made, task cancelled, dropped, never lost: uvloop closes the socket then and calls nothing. A gateway that runs for weeks would have refused all. Fault: `_connected` waited for a `connection_lost` that never comes.

Also: clients that linger over their last answer count as busy no more, and after 0.2 s make room first.

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -36,7 +36,7 @@
 AHEAD = 2  # requests parsed ahead on one connection: clients send one at a time
 SLICE = 2048  # bytes parsed at a time, a few requests: one read can hold hundreds
 RECEIVE_S = 2.0  # for a request to come in whole, from its first byte, and for a first one to begin at all
-UNHEARD_S = 0.2  # after which a new connection's first request would have been read, however busy the loop
+UNHEARD_S = 0.2  # after which a first request would have been read here, or a last answer by the client
 UNREAD_S = 5.0  # for a client to take its answer
 IDLE_S = 60.0  # connections are worth keeping, and the longest idle make room when room is needed
 IDLE_ONCE_S = 2.0  # for one that has asked once only: most such clients never come back
@@ -304,6 +304,7 @@
             if self._paused:
                 self._paused = False
                 self._transport.resume_reading()
+            self._server.leaves(self)
             if self._transport.can_write_eof():
                 self._transport.write_eof()
             self._server.loop.call_later(LINGER_S, self.abort)
@@ -358,6 +359,7 @@
         self.connections: dict[ClientConnection, None] = {}
         self._unheard: dict[ClientConnection, None] = {}  # no byte of a request yet, the oldest first
         self._resting: dict[ClientConnection, None] = {}  # between requests, the longest idle first
+        self._leaving: dict[ClientConnection, None] = {}  # have their last answer, the longest first
         self.draining = False
         self._listener: asyncio.Server | None = None
 
@@ -373,13 +375,17 @@
 
     def joined(self, connection: ClientConnection) -> None:
         """Past the clients' part of the descriptors each new connection ends another. Guards against floods:
-        first go those that never said anything, then those between two requests, never one with a request."""
+        first go those that have their last answer and those that never said anything, then those between two
+        requests, never one with a request."""
         self._descriptors.used += 1
         self.connections[connection] = self._unheard[connection] = None
         if len(self.connections) > self._most:
-            oldest = next(iter(self._unheard))
+            settled = self.loop.time() - UNHEARD_S
+            oldest, leaving = next(iter(self._unheard)), next(iter(self._leaving), None)
             flooded = len(self.connections) > self._most + self._most // 4
-            if self.loop.time() - oldest.last_change > UNHEARD_S:
+            if leaving is not None and leaving.last_change < settled:
+                leaving.abort()
+            elif oldest.last_change < settled:
                 oldest.abort()
             elif self._resting:
                 next(iter(self._resting)).abort()
@@ -396,9 +402,14 @@
     def rests(self, connection: ClientConnection) -> None:
         self._resting[connection] = None
 
+    def leaves(self, connection: ClientConnection) -> None:
+        """It has its last answer, and needs no more than time to read it."""
+        self._leaving[connection] = None
+
     def closes(self, connection: ClientConnection) -> None:
         """Ended, though its descriptor is in use until the loop comes round to it."""
         self.connections.pop(connection, None)
+        self._leaving.pop(connection, None)
         self.awake(connection)
 
     def left(self, connection: ClientConnection) -> None:
@@ -408,8 +419,8 @@
     def crowded(self) -> bool:
         """Whether there are no descriptors left to serve one more: then it is turned away, not started. Part
         of the reserved ones serves to tell those clients."""
-        busy = len(self.connections) - len(self._unheard) - len(self._resting)
-        return busy > self._most
+        quiet = len(self._unheard) + len(self._resting) + len(self._leaving)
+        return len(self.connections) - quiet > self._most
 
     def check(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes, since: float
--- a/quillroad/upstream.py
+++ b/quillroad/upstream.py
@@ -317,7 +317,9 @@
         if connection.transport is None:
             self.forget(connection)
         elif task.cancelled():
+            # Cancelled in the turn in which it came up: uvloop closes the socket and tells nobody.
             connection.drop()
+            self.forget(connection)
 
     def _room(self) -> bool:
         if self._descriptors.spare() <= 0:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -646,3 +646,50 @@
         assert (await once.ask()).status == 200
         assert await at_end(once) == b""
         assert (await usual.ask()).status == 200
+
+
+@on_loop
+async def test_clients_that_linger_over_an_error_make_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Bad clients hold their connection for a while after their last answer: usual ones come before them."""
+    monkeypatch.setattr(server, "LINGER_S", 1000.0)
+    monkeypatch.setattr(server, "UNHEARD_S", -1.0)
+    async with world(serve_ok, limits={"sockets": 24 + 16}) as w:
+        bad = [await w.client().__aenter__() for _ in range(8)]
+        for client in bad:
+            client.writer.write(b"what is this\r\n\r\n")
+            assert (await client.receive()).status == 400
+        async with w.client() as usual:
+            assert (await usual.ask()).status == 200
+            await until(lambda: len(w.gateway.server.connections) == 8)
+        for client in bad:
+            client.writer.close()
+
+
+@on_loop
+async def test_all_counts_return_to_their_base() -> None:
+    """Hosts come, hang, restart and go under requests that are answered, time out, are hedged or abandoned.
+    Afterwards the module's counts, the engine's records and the descriptors agree with the sockets."""
+    async with world(serve_ok, serve_ok, hang, break_off, refuse_unseen) as w:
+        engine, balancer = w.gateway.engine, w.gateway.engine._balancer
+        for turn in range(6):
+            clients = [await w.client().__aenter__() for _ in range(12)]
+            for number, client in enumerate(clients):
+                wait = "150" if number % 3 else "9000"
+                client.send(("/status-check/k", "/audit/k")[number % 2] + str(turn), Request_Timeout_Ms=wait)
+            host = w.hosts[turn % 5]
+            if turn == 5:
+                w.discovery.tell(host.entry(lifecycle="removed"), w.hosts[1].entry(instanceId="s-new"))
+            else:
+                w.discovery.tell(host.entry(startedAtMs=turn + 1, weight=1.0 + turn))
+            for number, client in enumerate(clients):
+                if number % 3:
+                    await client.receive()
+                client.writer.close()
+        await until(lambda: not w.gateway.server.connections and not engine._open and not engine._ids)
+        await until(lambda: not balancer.requests and not w.gateway.upstream._tasks and not balancer.queued)
+        assert all(s.in_flight == s.overdue == 0 for s in balancer.servers.values())
+        assert set(balancer.servers) == set(engine.hosts)
+        idle = [c for host in engine.hosts.values() for c in host.idle]
+        assert set(w.gateway.upstream._idle) == set(idle)
+        await until(lambda: w.gateway.server._descriptors.used == len(w.gateway.upstream._idle))
+        assert not (w.gateway.server._unheard or w.gateway.server._resting or w.gateway.server._leaving)
