--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -40,6 +40,7 @@
 UNREAD_S = 5.0  # for a client to take its answer
 IDLE_S = 60.0  # connections are worth keeping, and the longest idle make room when room is needed
 IDLE_ONCE_S = 2.0  # for one that has asked once only: most such clients never come back
+HEARD_PART = 0.25  # of the descriptors: past it the longest idle client connection ends, for new ones to come
 LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024  # after an error, so that a client still sending can read why
 
 
@@ -109,6 +110,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
+        # With the marks at 0 `_unread` stands for "bytes of an answer left in this process".
+        self._transport.set_write_buffer_limits(high=0)
         self._server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -128,6 +131,8 @@
     def resume_writing(self) -> None:
         self._unread = False
         self._advance()
+        if self.idle():
+            self._server.rests(self)
 
     def data_received(self, data: bytes) -> None:
         if self._ended:
@@ -289,7 +294,7 @@
         if keep:
             if ahead:
                 self._server.loop.call_soon(self._advance)
-            else:
+            elif not self._unread:
                 self._server.rests(self)
         else:
             self._close()
@@ -350,6 +355,7 @@
     ) -> None:
         self.loop, self.engine = loop, engine
         self._descriptors, self._make_room = descriptors, make_room
+        self._heard_most = int(descriptors.limit * HEARD_PART)
         self._most = descriptors.limit // 2  # the other half is the hosts': each request needs one there
         self._routes = {route.name: i for i, route in enumerate(config.settings.routes)}
         self._effects = [route.effect for route in config.settings.routes]
@@ -400,7 +406,12 @@
         self._resting.pop(connection, None)
 
     def rests(self, connection: ClientConnection) -> None:
+        """It is between two requests. Clients may hold so many connections here and no more: guards against
+        those that ask once and stay, which would take the places of all others for as long as they may."""
         self._resting[connection] = None
+        heard = len(self.connections) - len(self._unheard) - len(self._leaving)
+        if heard > self._heard_most and len(self._resting) > 1:
+            next(iter(self._resting)).abort()
 
     def leaves(self, connection: ClientConnection) -> None:
         """It has its last answer, and needs no more than time to read it."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,12 +12,13 @@
 from quillroad import server
 from quillroad.discovery import server_number
 from quillroad.engine import ClientRequest
-from quillroad.server import RECEIVE_S, UNREAD_S
+from quillroad.server import RECEIVE_S, UNREAD_S, ClientConnection
 from tests.net import (
     Client,
     FakeHost,
     Message,
     NeverUp,
+    World,
     answer,
     break_off,
     hang,
@@ -49,6 +50,12 @@
         return getattr(self._loop, name)
 
 
+async def joined(w: World) -> ClientConnection:
+    """The one connection of a client, once the gateway has it."""
+    await until(lambda: len(w.gateway.server.connections) == 1)
+    return next(iter(w.gateway.server.connections))
+
+
 async def refuse_unseen(message: Message, writer: asyncio.StreamWriter) -> None:
     writer.write(answer(b"", "503 Busy", "Not-Started: 1"))
 
@@ -693,3 +700,35 @@
         assert set(w.gateway.upstream._idle) == set(idle)
         await until(lambda: w.gateway.server._descriptors.used == len(w.gateway.upstream._idle))
         assert not (w.gateway.server._unheard or w.gateway.server._resting or w.gateway.server._leaving)
+
+
+@on_loop
+async def test_clients_that_ask_once_and_stay_make_place_for_others() -> None:
+    """An incident: 128 of these held all the connections that clients may have for 2 s each, and two of three
+    requests found none. The longest idle ends as soon as there are many."""
+    async with world(serve_ok, limits={"sockets": 24 + 40}) as w, w.client() as usual:
+        stayed = [await w.client().__aenter__() for _ in range(15)]
+        for client in stayed:
+            assert (await usual.ask()).status == 200  # in use between them, it is never the longest idle
+            assert (await client.ask()).status == 200
+        assert await at_end(stayed[0]) == b""
+        await until(lambda: len(w.gateway.server.connections) <= 10)
+        assert (await usual.ask()).status == 200
+        for client in stayed:
+            client.writer.close()
+
+
+@on_loop
+async def test_a_connection_with_bytes_unsent_is_not_at_rest() -> None:
+    """It would be ended to make room, and the end of its answer be lost."""
+    async with world(say(answer(b"x" * 60_000))) as w, w.client() as client:
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        connection = await joined(w)
+        while not connection._unread:
+            client.send()
+            await asyncio.sleep(0)
+        assert connection not in w.gateway.server._resting
+        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        taken = asyncio.ensure_future(at_end(client))
+        await until(lambda: connection in w.gateway.server._resting)
+        taken.cancel()
