The time of a request sent ahead counts from when it came

Read in review: since requests ahead are parsed late, theirs counted from their turn, past their client's deadline. The test sees 4 different deadlines for 60 requests of one read without the change, one with it; one whose time is up by its turn is turned away unsent. Only clients that send ahead are touched.

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -88,6 +88,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._unfed = b""  # read, not parsed yet
+        self._read_at = server.loop.time()  # when it was read, which a client's deadline counts from
         self._backlog: deque[_Pending] = deque()
         self._serving = False
         self._opened: OpenRequest | None = None
@@ -104,7 +105,7 @@
         self._size = self._received = 0
         self._body: list[bytes] = []
         self._head = True
-        self._since = self._server.loop.time()
+        self._since = self._read_at
 
     # The transport's side.
 
@@ -140,7 +141,9 @@
             if self._discarded > LINGER_BYTES:
                 self.abort()
             return
-        self._unfed = self._unfed + data if self._unfed else data
+        if not self._unfed:
+            self._read_at = self._server.loop.time()
+        self._unfed += data
         self._advance()
 
     def _feed(self) -> None:
@@ -177,7 +180,7 @@
         self._begin()
         self._partial = True
         if not self._serving:
-            self.last_change = self._since
+            self.last_change = self._server.loop.time()
         self._server.awake(self)
 
     def on_url(self, url: bytes) -> None:
@@ -258,7 +261,8 @@
             log.info("400: the id of an open request")
             self.answer(Reply(400))
             return
-        if self._server.crowded():
+        late = self._server.loop.time() >= pending.request.expires  # it waited for the answers before it
+        if late or self._server.crowded():
             self.answer(Reply(503, None, self._server.retry_after_us))
             return
         try:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -11,7 +12,7 @@
 from pinetrack.interface import Alarm, Arrived, Departed, Event
 from quillroad import server
 from quillroad.discovery import server_number
-from quillroad.engine import ClientRequest
+from quillroad.engine import ClientRequest, OpenRequest, Reply
 from quillroad.server import RECEIVE_S, UNREAD_S, ClientConnection
 from tests.net import (
     Client,
@@ -732,3 +733,22 @@
         taken = asyncio.ensure_future(at_end(client))
         await until(lambda: connection in w.gateway.server._resting)
         taken.cancel()
+
+
+@on_loop
+async def test_the_deadline_of_a_request_sent_ahead_counts_from_when_it_came() -> None:
+    """It waits unparsed for the answers before it, and its client's time runs all the while."""
+    async with world(hang) as w, w.client() as client:
+        engine, asked = w.gateway.engine, list[ClientRequest]()
+        accept = engine.accept
+
+        def record(request: ClientRequest, reply: Callable[[Reply], None]) -> OpenRequest:
+            asked.append(request)
+            return accept(request, reply)
+
+        engine.accept = record  # type: ignore[method-assign]
+        head = b"GET /status-check/k HTTP/1.1\r\nTenant: acme\r\nRequest-Timeout-Ms: 300\r\n"
+        client.writer.write(b"".join(b"%bRequest-Id: a%d\r\n\r\n" % (head, n) for n in range(60)))
+        for _ in range(60):
+            assert (await client.receive()).status in (503, 504)
+        assert len({request.expires for request in asked}) == 1
