Admission for the core's own sake: refuse cheaply what it has no time for

Need: with more work than the core can serve nothing was ever refused for the gateway's own sake. Cause: each host has few requests at a time; a late loop does not get round to their answers, so the rest waits in the module's queue past its aim and costs CPU there.

Change: arrivals/admission.py, free of I/O, follows two signals: how late the loop's beats are, and how long requests wait for their first send while the core is busy. AIMD on a rate based on what ends; worth and tenant shares say who is within it. Refusals read class and tenant off the bytes (arrivals/glance.py), Retry-After is spread. One connection gets four answers at once in a turn, and large reads are no longer copied for each slice.

Ruled out: the length of a turn from the loop's clock (uvloop updates it at each call); shedding by CPU share alone (closed-loop clients that ask again at once made it shed to 136/s); a rate that integrates down while a queue drains (it fell to 73/s).

--- a/quillroad/config.py
+++ b/quillroad/config.py
@@ -45,6 +45,7 @@
     discovery: Address
     seed: int
     sockets: int
+    cores: float  # of CPU time a second that the platform allows
     known: Mapping[str, Any]
     settings: Settings
     tenants: tuple[str, ...]
@@ -79,6 +80,13 @@
     return value
 
 
+def _cores(limits: Mapping[str, Any]) -> float:
+    value = limits.get("cores", 1.0)
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 < value < float("inf"):
+        raise ConfigError(f"limits.cores: needs a number above 0, not {value!r}")
+    return min(1.0, float(value))  # the loop is one thread
+
+
 def _names(data: Mapping[str, Any], key: str) -> tuple[str, ...]:
     names = _part(data, key, list, f"settings.{key}", [])
     return tuple(str(name.get("name")) if isinstance(name, dict) else str(name) for name in names)
@@ -120,6 +128,7 @@
         discovery=read_address(environment.get("GW_DISCOVERY") or data.get("discovery"), "GW_DISCOVERY"),
         seed=_seed(data.get("seed", 0)),
         sockets=_above_zero(_part(data, "limits", dict, "limits", {}), "sockets", "limits.sockets", 1024),
+        cores=_cores(_part(data, "limits", dict, "limits", {})),
         known=_part(data, "known", dict, "known", {}),
         settings=settings,
         tenants=_names(told, "orgs"),
--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -82,6 +82,7 @@
         self, number: int, request: ClientRequest, reply: Callable[[Reply], None], give_up: float
     ) -> None:
         self.number, self.request = number, request
+        self.began = monotonic()
         self.give_up = give_up  # monotonic time at which its attempts end
         self.reply: Callable[[Reply], None] | None = reply
         self.attempts: list[Attempt | None] = []  # None: not sent at all
@@ -104,6 +105,7 @@
         self._events: deque[Event] = deque()
         self._busy = False
         self.hosts: dict[int, Host] = {}
+        self.on_first_send: Callable[[float], None] | None = None  # told how long the request has waited
 
     def now_us(self) -> int:
         self._latest_us = max(self._latest_us, self._epoch_us + int(self._heart.clock() * 1e6))
@@ -286,6 +288,8 @@
             return
         opened.out += 1
         opened.attempts.append(attempt)
+        if not number and self.on_first_send is not None:
+            self.on_first_send(started - opened.began)
 
     def _done(
         self,
--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from time import monotonic
+from time import monotonic, process_time
 from typing import cast
 from urllib.parse import unquote
 
@@ -20,8 +20,11 @@
 
 from pinetrack.interface import Effect
 from quillroad.arrivals.acceptor import Acceptor
+from quillroad.arrivals.admission import Admission
 from quillroad.arrivals.age import data_age
+from quillroad.arrivals.glance import glance
 from quillroad.arrivals.heart import Heart
+from quillroad.arrivals.spread import Spread
 from quillroad.config import RESERVED, Config, Descriptors
 from quillroad.engine import ClientRequest, Engine, OpenRequest, Reply
 from quillroad.upstream import BODY_LIMIT, HEAD_LIMIT
@@ -39,6 +42,7 @@
 )
 MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # with a chunked body's framing
 LEAST_LEFT_S = 0.002  # of a client's time, for a request to be taken on: two turns of the loop's clock
+TURN = 4  # requests of one connection that are answered at once in one turn: the others have theirs
 AHEAD = 2  # requests parsed ahead on one connection: clients send one at a time
 SLICE = 2048  # bytes parsed at a time, a few requests: one read can hold hundreds
 RECEIVE_S = 2.0  # for a request to come in whole, from its first byte, and for a first one to begin at all
@@ -82,8 +86,11 @@
 class _Pending:
     """A request that is complete, or the error that it got, waiting for its turn on the connection."""
 
-    def __init__(self, request: ClientRequest | None, status: int, keep: bool, why: str = "") -> None:
+    def __init__(
+        self, request: ClientRequest | None, status: int, keep: bool, why: str = "", refused: bool = False
+    ) -> None:
         self.request, self.status, self.keep, self.why = request, status, keep, why
+        self.refused = refused
 
 
 class ClientConnection(asyncio.Protocol):
@@ -93,9 +100,9 @@
         self._server, self._sock = server, sock
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self._unfed = b""  # read, not parsed yet
+        self._unfed, self._fed = b"", 0  # read, and how much of it is parsed
         self._read_at = monotonic()  # when what is unfed came in, which a client's deadline counts from
-        self._heard = False
+        self._heard = self._admitted = False
         self._backlog: deque[_Pending] = deque()
         self._serving = False
         self._opened: OpenRequest | None = None
@@ -148,19 +155,32 @@
             if self._discarded > LINGER_BYTES:
                 self.abort()
             return
-        if not self._unfed:
+        if self._unfed:
+            self._unfed, self._fed = self._unfed[self._fed :] + data, 0
+        else:
+            self._unfed, self._fed = data, 0
             self._read_at = monotonic()
             if not self._heard or self._server.heart.late():
                 # It may have lain in the kernel, before its accept or while the loop was busy.
                 self._heard = True
                 self._read_at -= data_age(self._sock)
-        self._unfed += data
+            if self._server.admission.shedding and not (self._serving or self._partial or self._backlog):
+                seen = glance(data)
+                if seen is not None:
+                    if self._server.sheds(seen.kind, seen.tenant):
+                        self._unfed = b""
+                        self._shed()
+                        return
+                    self._admitted = True
         self._advance()
 
     def _feed(self) -> None:
         """Parse what was read, no further ahead than a client needs; the rest waits, as the client must."""
         while self._unfed and len(self._backlog) < AHEAD and not self._ended and self._parser is not None:
-            data, self._unfed = self._unfed[:SLICE], self._unfed[SLICE:]
+            data = self._unfed[self._fed : self._fed + SLICE]
+            self._fed += SLICE
+            if self._fed >= len(self._unfed):
+                self._unfed, self._fed = b"", 0
             complete = self._complete
             try:
                 self._parser.feed_data(data)
@@ -179,7 +199,7 @@
                 self._ended = True
                 self._backlog.append(_Pending(None, bad.status, False, str(bad)))
         if self._ended:
-            self._unfed = b""
+            self._unfed, self._fed = b"", 0
         wait = bool(self._unfed) and not self._ended
         if wait != self._paused and self._transport is not None:
             self._paused = wait
@@ -237,14 +257,35 @@
             path = self._url.partition(b"?")[0]
             if path == b"/up" and method == b"GET":
                 pending = _Pending(None, self._server.up_status(), keep)
+            elif self._server.admission.awake and not self._admitted and self._shed_parsed():
+                pending = _Pending(None, 503, keep, refused=True)
             else:
                 request = self._server.check(method, self._url, self._headers, b"".join(self._body),
                                              self._since)
                 pending = _Pending(request, 200, keep)
         except _Bad as bad:
             pending = _Pending(None, bad.status, keep, str(bad))
+        self._admitted = False
         self._backlog.append(pending)
 
+    def _shed_parsed(self) -> bool:
+        kind = self._url.split(b"/", 2)[1] if self._url.startswith(b"/") else b""
+        tenants = [value for name, value in self._headers if len(name) == 6 and name.lower() == b"tenant"]
+        return self._server.sheds(kind, tenants[0] if len(tenants) == 1 else b"")
+
+    def _shed(self) -> None:
+        """Turn away a request that no parser has seen."""
+        self.last_change = self._read_at
+        self._complete += 1
+        if self._transport is None:
+            return
+        self._server.awake(self)
+        self._transport.write(self._server.refusal())
+        if self._server.draining:
+            self._close()
+        elif not self._unread:
+            self._server.rests(self)
+
     # One request after another.
 
     def _advance(self) -> None:
@@ -254,14 +295,22 @@
         self._advancing = True
         try:
             self._feed()
+            served = 0
             while self._backlog and not self._serving and not self._unread and self._transport is not None:
+                if served == TURN:
+                    self._server.loop.call_soon(self._advance)
+                    break
                 self._serve(self._backlog.popleft())
                 self._feed()
+                served += 1
         finally:
             self._advancing = False
 
     def _serve(self, pending: _Pending) -> None:
         self._serving, self._keep = True, pending.keep
+        if pending.refused:
+            self.answer(Reply(503, None, self._server.retry_after_us))
+            return
         if pending.request is None:
             if pending.status >= 400 and pending.status != 503:
                 log.info("%d: %s", pending.status, pending.why)
@@ -291,6 +340,7 @@
         """The one place that writes to a client."""
         self._opened, self._serving = None, False
         self.last_change = monotonic()
+        self._server.admission.ended += 1
         if self._transport is None:
             return
         # What was sent ahead has been taken and is owed an answer: the last one says `close`.
@@ -303,13 +353,14 @@
             if reply.answer.content_type is not None:
                 lines.append(b"Content-Type: " + reply.answer.content_type)
         if reply.retry_after_us:
-            lines.append(b"Retry-After: %.3f" % (reply.retry_after_us / 1e6))
+            lines.append(b"Retry-After: %.3f" % (self._server.spread.over(reply.retry_after_us) / 1e6))
         lines.append(b"Content-Length: %d" % len(body))
         lines.append(b"Connection: keep-alive" if keep else b"Connection: close")
         self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
         if keep:
             if ahead:
-                self._server.loop.call_soon(self._advance)
+                if not self._advancing:
+                    self._server.loop.call_soon(self._advance)
             elif not self._unread:
                 self._server.rests(self)
         else:
@@ -386,6 +437,18 @@
         self._deadlines = [route.deadline_us / 1e6 for route in config.settings.routes]
         self.retry_after_us = config.settings.max_retry_after_us if config.settings.retry_after else 0
         self._tenants = {name: i for i, name in enumerate(config.tenants)}
+        told = config.settings
+        self._classes = {route.name.encode(): i for i, route in enumerate(told.routes)}
+        self._tenant_names = {name.encode(): i for i, name in enumerate(config.tenants)}
+        self.admission = Admission(
+            [route.worth for route in told.routes],
+            process_time,
+            config.cores,
+            told.over_quota_worth,
+            [quota / told.balancers for quota in told.tenant_quotas_per_s],
+        )
+        heart.on_beat, engine.on_first_send = self.admission.beat, self.admission.sent
+        self.spread = Spread(config.seed % 997 / 997)
         self.connections: dict[ClientConnection, None] = {}
         self._unheard: dict[ClientConnection, None] = {}  # no byte of a request yet, the oldest first
         self._resting: dict[ClientConnection, None] = {}  # between requests, the longest idle first
@@ -463,6 +526,24 @@
         quiet = len(self._unheard) + len(self._resting) + len(self._leaving)
         return len(self.connections) - quiet > self._most
 
+    def sheds(self, kind: bytes, tenant: bytes) -> bool:
+        """Whether this core has no time for a request. Looks at its class and tenant, and at nothing else: a
+        refusal must cost a small part of what it saves."""
+        route = self._classes.get(kind)
+        if route is None:
+            return False  # what can't be served is told why
+        return not self.admission.admit(monotonic(), route, self._tenant_names.get(tenant, -1))
+
+    def refusal(self) -> bytes:
+        """A whole answer that turns a request away."""
+        end = b"close" if self.draining else b"keep-alive"
+        if not self.retry_after_us:
+            return b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: %b\r\n\r\n" % end
+        return (
+            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n"
+            b"Connection: %b\r\n\r\n"
+        ) % (self.spread.over(self.retry_after_us) / 1e6, end)
+
     def check(
         self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes, since: float
     ) -> ClientRequest:
--- a/rig/gateway.py
+++ b/rig/gateway.py
@@ -76,7 +76,7 @@
         return self.process.pid
 
     async def start(self, log: bool = False, command: Sequence[str] = ("-m", "quillroad")) -> GatewayProcess:
-        """Start it and wait until `/up` answers 200."""
+        """Start it, or what `command` names in its place, and wait until `/up` answers 200."""
         path = self._folder / "gateway.json"
         path.write_text(json.dumps(self._data))
         environment = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -20,6 +20,8 @@
 from quillroad.arrivals.age import data_age
 from quillroad.arrivals.backoff import FIRST_S, MOST_S, AcceptBackoff
 from quillroad.arrivals.pulse import BEAT_S, LATE_S, STALL_S, Pulse
+from quillroad.engine import Reply
+from quillroad.server import TURN, ClientConnection
 from rig.account import Work, broken_rules, tally, total
 from rig.clients import Load
 from rig.gateway import GatewayProcess, settings
@@ -262,6 +264,60 @@
         assert (await client.receive()).status == 504
 
 
+# Fairness.
+
+
+@on_loop
+async def test_a_client_that_sends_hundreds_at_once_gets_its_turn_and_no_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All requests of one read used to be answered in one turn of the loop, and everyone else waited."""
+    order: list[ClientConnection] = []
+    answer_one = ClientConnection.answer
+
+    def note(self: ClientConnection, reply: Reply) -> None:
+        order.append(self)
+        answer_one(self, reply)
+
+    monkeypatch.setattr(ClientConnection, "answer", note)
+    async with world(serve_ok) as w, w.client() as flood, w.client() as other:
+        for client in (flood, other):
+            assert (await client.ask("/no-such/k")).status == 400
+        first, second = order
+        order.clear()
+        for _ in range(300):
+            flood.send("/no-such/k")
+        other.send("/no-such/k")
+        assert (await other.receive()).status == 400
+        assert order.index(second) <= 8 * TURN
+        for _ in range(300):
+            assert (await flood.receive()).status == 400
+        assert order.count(first) == 300
+
+
+@on_loop
+async def test_what_is_shed_is_answered_from_its_head_and_counted_once() -> None:
+    """The cheap path to a refusal: no parser, no module, no host; the connection stays good."""
+    async with world(serve_ok) as w, w.client() as client:
+        assert (await client.ask()).status == 200
+        admission = w.gateway.server.admission
+        for shedding, status in ((True, 503), (False, 200), (True, 503)):
+            admission.awake = admission.shedding = shedding
+            admission._share = [0.0] * len(admission._share)
+            before, came = len(w.hosts[0].seen), sum(admission._came)
+            for path, body in (("/status-check/k", b""), ("/seat-checkout/k", b"take")):
+                got = await client.ask(path, body)
+                assert got.status == status
+                if shedding:
+                    assert 0.3 <= float(got.headers["retry-after"]) <= 0.6
+                    assert got.headers["connection"] == "keep-alive"
+            assert len(w.hosts[0].seen) - before == (0 if shedding else 2)
+            assert sum(admission._came) - came == (2 if shedding else 0)
+            assert (await client.ask("/no-such/k")).status == 400
+            assert (await client.ask("/up", method="GET")).status == 200
+        assert not w.gateway.engine._open
+
+
 # The pulse.
 
 
