Admission back at once after a storm, and out where the gateway has part of a core

Need: after a storm a calm load was refused for seconds, since the rate grew from what the storm's first moments had served.

Change: what the core would serve if its time went as the time it used is a sure lower bound of the rate; half of the core is for requests however many refusals want it; with no work for 0.5 s all is forgotten; a queue must stand for three intervals before shedding begins. Admission is wired up only with a whole core (limits.cores of 1 or more): under a quota the process is stopped for the rest of each period, and that looks like a queue. Connections whose next request has come already are not ended to make room.

--- a/quillroad/arrivals/acceptor.py
+++ b/quillroad/arrivals/acceptor.py
@@ -18,7 +18,7 @@
 log = logging.getLogger("quillroad.arrivals")
 
 BACKLOG = 4096  # connections that wait in the kernel; it holds this to net.core.somaxconn
-BATCH = 128  # accepts a turn: about 4 ms, against a busy connection's wait for its turn
+BATCH = 256  # accepts a turn: about 10 ms at the most, in storms alone
 ROOM_S = 0.010  # until the descriptors are looked at again
 LAST_SWEEP = 4096  # accepts at most when the listener closes
 
--- a/quillroad/arrivals/admission.py
+++ b/quillroad/arrivals/admission.py
@@ -20,16 +20,25 @@
 
 from collections.abc import Callable, Sequence
 
-TARGET_S = 0.012  # by which a sign of life may be late on average: turns of the loop are twice as long
+TARGET_S = 0.035  # by which a sign of life may be late on average: turns of the loop are twice as long
 INTERVAL_S = 0.050  # between two steps; hosts answer within a few of them, so a step's effect is seen
-WAIT_S = 0.025  # for a first send, on average, while the core is busy
+WAIT_S = 0.050  # for a first send, on average, while the core is busy: aims are several times that
+PATIENCE = 3  # intervals in a row in which a queue stood, for shedding to begin: bursts pass by themselves
 BUSY = 0.92  # share of the allowed CPU time at which it is
 DOWN = 0.15  # the most that one step takes off the rate
 UP = 0.10  # what a step without a queue adds to it at the most
+UP_NEAR, NEAR = 0.015, 0.85  # and from this part on of the rate that was too much last: slowly at first,
+PROBE = 8.0  # and after so many intervals with no queue faster and faster, as CUBIC does (RFC 9438)
+SURE = 0.8  # part of what the core would serve if all its time went as that it used, which is sure
 SPARE = 1.3  # the rate over the demand at which nothing is shed any more
 LEAST_RATE = 20.0  # requests a second admitted at the worst, to find out that it is over
+OWN = 0.5  # part of the core's time that is for requests, however many refusals want it: whoever is refused
+# may ask again, and a core that does nothing but refuse would go on for ever
+KNOWN = 50  # requests that must have ended in an interval, or in several, for their cost to be known
+RISE = 0.002  # what the cost of a request rises by in an interval that did not show a lower one
 SMOOTH = 0.4  # weight of the newest interval in what is measured
-DEEPEST = 0.5  # part of what is served of late that is admitted at the least, while a queue drains
+DEEPEST = 0.6  # part of the rate that was too much that is admitted at the least, while a queue drains
+FADE = 0.03  # what that rate loses with each further interval in which the queue stands
 WAKE_LATE_S, WAKE_BUSY = 0.005, 0.7  # under both nothing waits, and requests are not even counted
 AWAKE_S = 2.0  # for which they are counted after that
 IDLE_S = 0.5  # with nothing heard for so long all that was learned of the demand is past
@@ -85,6 +94,12 @@
         self._waits, self._waited = 0, 0.0  # first sends in this interval, and their waits in all
         self.ended = 0  # admitted requests that have got their answer in this interval
         self._ended_rate = 0.0
+        self._too_much = float("inf")  # what was served when a queue stood last
+        self._cost = 0.0  # CPU seconds a request at the least, refusals and all; 0: not known yet
+        self._ends, self._cpu = 0, 0.0  # in the intervals since it was measured last
+        self._standing = False  # whether a queue stood in the interval before
+        self._stood = 0  # intervals in a row in which a queue stood
+        self._calm = 0  # intervals since one stood
         self._counted = False  # whether the interval before was counted too
         self._awake_until = -1.0
         self.awake = False  # whether requests are counted, and `admit` is to be asked
@@ -92,6 +107,11 @@
         self.rate = float("inf")  # requests a second that the core has time for, where that is known
         self.shedding = False
 
+    @property
+    def demand(self) -> float:
+        """Requests a second that were asked for of late, while they were counted."""
+        return sum(self._demand)
+
     def beat(self, now: float, late: float) -> None:
         """A sign of life that was due `late` seconds ago, every 25 ms while there is work."""
         self._late += late
@@ -106,6 +126,8 @@
 
     def admit(self, now: float, route: int, tenant: int) -> bool:
         """Whether to take on a request of class `route`; a tenant below 0 or unknown has no share."""
+        if self.shedding and now - self._began > IDLE_S:
+            self._forget()  # no sign of life is due without work: the overload is long over
         level = route
         if self._quotas and not (0 <= tenant < len(self._quotas) and self._quotas[tenant].within(now)):
             level += self._classes
@@ -123,14 +145,14 @@
         used, self._cpu_before = (cpu - self._cpu_before) / (passed * self._cores), cpu
         late = self._late / self._beats
         if passed > IDLE_S and late < IDLE_S / 2:  # there was no work for long: no interval to judge
-            self._demand = [0.0] * len(self._demand)
-            self._ended_rate, self._busy, self.rate, self._counted = 0.0, 0.0, float("inf"), False
+            self._forget()
         else:
             weight = SMOOTH if self._counted else 1.0
             for level, came in enumerate(self._came):
                 self._demand[level] += weight * (came / passed - self._demand[level])
             self._ended_rate += weight * (self.ended / passed - self._ended_rate)
             self._busy += weight * (used - self._busy)
+            self._learn_cost(used * passed * self._cores)
             self._counted = self.awake
             self._adapt(late, self._waited / self._waits if self._waits else 0.0)
         self._came = [0] * len(self._came)
@@ -141,21 +163,45 @@
         self._deal()
         self.awake = self.shedding or now < self._awake_until
 
+    def _learn_cost(self, cpu: float) -> None:
+        self._ends += self.ended
+        self._cpu += cpu
+        if self._ends >= KNOWN:
+            seen, self._ends, self._cpu = self._cpu / self._ends, 0, 0.0
+            self._cost = min(self._cost * (1.0 + RISE), seen) if self._cost else seen
+
+    def _forget(self) -> None:
+        self._demand = [0.0] * len(self._demand)
+        self._ended_rate, self._busy, self._counted, self._standing = 0.0, 0.0, False, False
+        self.rate = self._too_much = float("inf")
+        self.shedding = False
+
     def _adapt(self, late: float, waited: float) -> None:
         if not self.awake:
             return  # nothing was counted
         excess = max(late / TARGET_S - 1.0, waited / WAIT_S - 1.0 if self._busy > BUSY else -1.0)
-        if excess > 0.0:
-            # What is served of late is what there is time for. Less is admitted until the queue has drained,
-            # but not ever less: a queue that drains is no reason to think that there is no time.
-            rate = min(self.rate, self._ended_rate) * (1.0 - DOWN * min(1.0, excess))
-            self.rate = max(LEAST_RATE, DEEPEST * self._ended_rate, rate)
+        self._stood = self._stood + 1 if excess > 0.0 else 0
+        if excess > 0.0 and self._cost and (self.shedding or self._stood >= PATIENCE):
+            # Less is admitted until the queue has drained, but not ever less: while it drains it stands, and
+            # tells nothing of the rate. Only a queue that stands for long says that the rate was worse.
+            if self._standing:
+                self._too_much *= 1.0 - FADE
+            else:
+                self._too_much = min(self.rate, self._ended_rate)
+            self._standing, self._calm = True, 0
+            rate = min(self.rate, self._too_much) * (1.0 - DOWN * min(1.0, excess))
+            self.rate = max(LEAST_RATE, OWN * BUSY * self._cores / self._cost, DEEPEST * self._too_much, rate)
         else:
-            self.rate *= 1.0 + UP * min(1.0, -excess)
+            self._standing, self._calm = False, self._calm + 1
+            near = self.rate >= NEAR * self._too_much
+            up = min(UP, UP_NEAR * (1.0 + (self._calm / PROBE) ** 2)) if near else UP
+            # Refusals cost time too, so this is less than the core can do, and more the closer it gets.
+            sure = SURE * self._ended_rate * BUSY / max(self._busy, 0.02)
+            self.rate = max(self.rate * (1.0 + up * min(1.0, -excess)), sure)
 
     def _deal(self) -> None:
         """Deal the rate out by worth."""
-        demand = sum(self._demand)
+        demand = self.demand
         was, self.shedding = self.shedding, self.rate < SPARE * demand
         if not self.shedding:
             if was:
--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
+from itertools import islice
 from time import monotonic, process_time
 from typing import cast
 from urllib.parse import unquote
@@ -42,6 +43,7 @@
 )
 MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # with a chunked body's framing
 LEAST_LEFT_S = 0.002  # of a client's time, for a request to be taken on: two turns of the loop's clock
+LOOKED_AT = 8  # connections at most, for one to end
 TURN = 4  # requests of one connection that are answered at once in one turn: the others have theirs
 AHEAD = 2  # requests parsed ahead on one connection: clients send one at a time
 SLICE = 2048  # bytes parsed at a time, a few requests: one read can hold hundreds
@@ -447,7 +449,10 @@
             told.over_quota_worth,
             [quota / told.balancers for quota in told.tenant_quotas_per_s],
         )
-        heart.on_beat, engine.on_first_send = self.admission.beat, self.admission.sent
+        if config.cores >= 1.0:
+            # Where CPU time is rationed a process that has used its ration stands still for the rest of each
+            # period: the beats are late whatever is admitted, and shedding by them turned away what fitted.
+            heart.on_beat, engine.on_first_send = self._beat, self.admission.sent
         self.spread = Spread(config.seed % 997 / 997)
         self.connections: dict[ClientConnection, None] = {}
         self._unheard: dict[ClientConnection, None] = {}  # no byte of a request yet, the oldest first
@@ -488,8 +493,8 @@
                 leaving.abort()
             elif oldest.last_change < settled and not oldest.unread():
                 oldest.abort()
-            elif self._resting:
-                next(iter(self._resting)).abort()
+            elif (resting := self._longest_resting()) is not None:
+                resting.abort()
             elif flooded and oldest is not connection:
                 oldest.abort()
 
@@ -504,7 +509,15 @@
         self._resting[connection] = None
         heard = len(self.connections) - len(self._unheard) - len(self._leaving)
         if heard > self._heard_most and len(self._resting) > 1:
-            next(iter(self._resting)).abort()
+            longest = self._longest_resting()
+            if longest is not None and longest is not connection:
+                longest.abort()
+
+    def _longest_resting(self) -> ClientConnection | None:
+        """The connection longest between two requests, of those whose next one has not come already: a loop
+        that runs late has not read it yet, and ending the connection would lose it."""
+        first = islice(self._resting, LOOKED_AT)
+        return next((connection for connection in first if not connection.unread()), None)
 
     def leaves(self, connection: ClientConnection) -> None:
         """It has its last answer, and needs no more than time to read it."""
@@ -526,6 +539,17 @@
         quiet = len(self._unheard) + len(self._resting) + len(self._leaving)
         return len(self.connections) - quiet > self._most
 
+    def _beat(self, now: float, late: float) -> None:
+        admission, was = self.admission, self.admission.shedding
+        admission.beat(now, late)
+        if admission.shedding != was:
+            if was:
+                log.info("no longer shedding")
+            else:
+                log.warning(
+                    "shedding: the core has time for %d requests/s of %d", admission.rate, admission.demand
+                )
+
     def sheds(self, kind: bytes, tenant: bytes) -> bool:
         """Whether this core has no time for a request. Looks at its class and tenant, and at nothing else: a
         refusal must cost a small part of what it saves."""
--- a/rig/processes.py
+++ b/rig/processes.py
@@ -38,7 +38,7 @@
 
     async def stop(self) -> dict[str, int]:
         """Requests received by each host."""
-        out, _ = await self._process.communicate()
+        out, _ = await self._process.communicate(b"")  # closes its input, which is its sign to end
         received: dict[str, int] = json.loads(out)
         return received
 
--- /dev/null
+++ b/rig/stage.py
@@ -0,0 +1,76 @@
+"""Hosts, discovery and one or more gateway processes, for tests that judge the program from outside."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from rig.account import Receipt, Work, broken_rules
+from rig.clients import Load
+from rig.gateway import GatewayProcess, settings
+from rig.hosts import Discovery, Host
+
+
+class Stage:
+    """Stand-ins in this process, and gateways in theirs, each pinned to a core of its own where there are
+    enough. `told` changes the gateways' settings; with several gateways each is told its number."""
+
+    def __init__(
+        self,
+        folder: Path,
+        works: Sequence[Work],
+        hosts: int,
+        *,
+        delay: float = 0.0,
+        sockets: int = 4096,
+        gateways: int = 1,
+        **told: Any,
+    ) -> None:
+        self._folder, self._works, self._sockets, self._told = folder, works, sockets, told
+        self.hosts = [Host(f"s-{i}", delay) for i in range(hosts)]
+        self._count = gateways
+        self.gateways: list[GatewayProcess] = []
+        self.log = ""
+
+    @property
+    def gateway(self) -> GatewayProcess:
+        return self.gateways[0]
+
+    async def __aenter__(self) -> Stage:
+        for host in self.hosts:
+            await host.start()
+        self.discovery = await Discovery(self.hosts).start()
+        cores = sorted(os.sched_getaffinity(0))
+        for number in range(self._count):
+            folder = self._folder / str(number)
+            folder.mkdir()
+            told = settings(self._works) | {"balancers": self._count, "my_number": number} | self._told
+            core = cores[-1 - number % len(cores)]
+            gateway = GatewayProcess(folder, self.discovery.port, told, self._sockets, core)
+            self.gateways.append(await gateway.start())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.log = "".join([await gateway.stop() for gateway in self.gateways])
+        self.discovery.stop()
+        for host in self.hosts:
+            host.stop()
+
+    def load(self, gateway: int = 0, shares: Sequence[float] = (3, 1), **more: Any) -> Load:
+        return Load(self.gateways[gateway].address, self._works, shares, prefix=f"g{gateway}-", **more)
+
+    def receipts(self) -> list[Receipt]:
+        return [receipt for host in self.hosts for receipt in host.receipts]
+
+    def broken(self, *loads: Load) -> list[str]:
+        """What in the account of these loads no gateway may do."""
+        records = [record for load in loads for record in load.records]
+        return broken_rules(records, self.receipts(), self._works)
+
+    def tell(self, host: Host, **changes: Any) -> float:
+        """Change a host's line in the list; returns when."""
+        self.discovery.tell(host.name, **changes)
+        return time.monotonic()
--- /dev/null
+++ b/tests/test_storms.py
@@ -0,0 +1,127 @@
+"""Storms and overload against the whole program, with hosts in trouble, drains and restarts; every request
+accounted for. Judged by order and counts."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+from rig.account import Work, tally, total
+from rig.schedule import steady, steps
+from rig.stage import Stage
+from tests.net import on_loop, until
+
+WORKS = [
+    Work("status-check", 0.58, 1.4, 2.0),
+    Work("seat-checkout", 0.75, 1.9, 8.0, keyed=True, body=200),
+]
+GRACE_S = 0.5  # rule 3
+
+
+@on_loop
+async def test_a_thousand_clients_at_once_onto_a_busy_gateway(tmp_path: Path) -> None:
+    """Those who were there keep being served, and every one of the thousand gets one answer in time."""
+    async with Stage(tmp_path, WORKS, hosts=12) as stage:
+        busy, storm = stage.load(seed=1, keys=50), stage.load(seed=2)
+        storm._prefix = "storm-"
+        busy_task = asyncio.ensure_future(busy.open_loop(steady(200, 3.0)))
+        await until(lambda: len(busy.records) > 100)
+        await storm.once(1000)
+        await busy_task
+        whole = total(tally(storm.records, WORKS).values())
+        assert (whole.sent, whole.late, whole.unanswered) == (1000, 0, 0)
+        assert whole.in_aim + whole.served + whole.refused + whole.failed == 1000
+        calm = total(tally(busy.records, WORKS).values())
+        assert (calm.late, calm.unanswered) == (0, 0)
+        assert calm.in_aim > calm.sent / 2
+        assert stage.broken(busy, storm) == []
+
+
+@on_loop
+async def test_a_storm_while_half_of_the_hosts_hang_and_one_drains(tmp_path: Path) -> None:
+    async with Stage(tmp_path, WORKS, hosts=12) as stage:
+        for host in stage.hosts[:6]:
+            host.hangs = True
+        load = stage.load()
+        task = asyncio.ensure_future(load.closed_loop(300, 2.0))
+        await until(lambda: len(stage.hosts[-1].receipts) > 0)
+        told = stage.tell(stage.hosts[-1], lifecycle="draining")
+        await task
+        whole = total(tally(load.records, WORKS).values())
+        assert (whole.late, whole.unanswered) == (0, 0)
+        assert whole.in_aim > 0
+        assert stage.broken(load) == []
+        assert [r for r in stage.hosts[-1].receipts if r.at > told + GRACE_S] == []
+
+
+@on_loop
+async def test_a_storm_onto_a_gateway_that_drains(tmp_path: Path) -> None:
+    """SIGTERM, and the front still sends for a moment: whoever got a connection gets an answer."""
+    async with Stage(tmp_path, WORKS, hosts=6, delay=0.01) as stage:
+        load = stage.load()
+        await load.once(50)
+        stage.gateway.drain()
+        await load.once(250)
+        whole = total(tally(load.records, WORKS).values())
+        assert (whole.sent, whole.late, whole.unanswered) == (300, 0, 0)
+        assert stage.broken(load) == []
+        process = stage.gateway.process
+        assert process is not None
+        assert await process.wait() == 0
+
+
+@on_loop
+async def test_waves_of_overload_leave_nothing_behind(tmp_path: Path) -> None:
+    """Three waves of more than the core can serve: refusals while they last, then service as if nothing had
+    been; connections and memory go back to where they were."""
+    async with Stage(tmp_path, WORKS, hosts=12) as stage:
+        load = stage.load(most=600)
+        await load.open_loop(steady(150, 0.5))
+        descriptors = stage.gateway.descriptors()
+        waves = [(4500.0, 0.7), (0.0, 0.7)] * 3
+        await load.open_loop(steps(*waves))
+        memory = stage.gateway.memory_mb()
+        overload = len(load.records)
+        await load.open_loop(steps(*waves))
+        assert stage.gateway.memory_mb() < memory + 6
+        last = len(load.records)
+        await load.open_loop(steady(100, 2.0))
+        whole = total(tally(load.records, WORKS).values())
+        assert (whole.late, whole.unanswered) == (0, 0)
+        assert {record.status for record in load.records[last + 100 :]} == {200}  # back within a second
+        assert overload > 1000
+        assert stage.broken(load) == []
+        await until(lambda: stage.gateway.descriptors() <= descriptors + 12 * 4)
+
+
+@on_loop
+async def test_storms_of_two_gateways_push_no_cold_host_over(tmp_path: Path) -> None:
+    """Both gateways start, both floors reconnect, and one host is cold: what both send it within any window
+    stays under the budget that both are told of."""
+    guarantees = {
+        "drain_grace": 500_000, "cold": 8_000_000, "cold_from": 0.3, "fall_multiple": 3.0,
+        "tip_after": 1_000_000,
+    }
+    async with Stage(tmp_path, WORKS, hosts=6, delay=0.03, gateways=2, guarantees=guarantees) as stage:
+        cold = stage.hosts[0]
+        started = time.time()
+        stage.tell(cold, startedAtMs=int(started * 1000))
+        loads = [stage.load(0), stage.load(1)]
+        before = len(cold.receipts)
+        await asyncio.gather(*(load.closed_loop(150, 3.0) for load in loads))
+        assert stage.broken(*loads) == []
+        for load in loads:
+            whole = total(tally(load.records, WORKS).values())
+            assert (whole.late, whole.unanswered) == (0, 0)
+            assert whole.in_aim > 0
+        times = [receipt.at for receipt in cold.receipts[before:]]
+        # A request's work as the gateways first guess it: a quarter of the aim. Capacity is one second of
+        # work a second; at the coldest that is 0.3, and the multiple of it 0.9 s of work in any 1 s.
+        dearest = max(work.aim for work in WORKS) / 4
+        warmest = 0.3 + 0.7 * 3.5 / 8.0  # by the end of the run
+        for at in times:
+            window = [t for t in times if at <= t < at + 1.0]
+            assert len(window) * min(dearest, 0.03) <= 3.0 * warmest
+        rates = [sum(1 for r in host.receipts) for host in stage.hosts[1:]]
+        assert len(times) < sum(rates) / len(rates)
