Review: what the gateway turned away no longer counts as served by its core

Cause, found by reading the whole change: refusals through the parser, late and bad requests all counted as ended, so the admission took them for what the core can serve. Two tables of classes and tenants were copies of those that check() has. The rig held an unused callback and an unused table, and its account had no test of its own.

Measured: the changed test fails when refusals count again (3 for 2 ended).

--- a/quillroad/server.py
+++ b/quillroad/server.py
@@ -277,7 +277,7 @@
 
     def _shed(self) -> None:
         """Turn away a request that no parser has seen."""
-        self.last_change = self._read_at
+        self.last_change = monotonic()
         self._complete += 1
         if self._transport is None:
             return
@@ -329,7 +329,7 @@
             self.answer(Reply(503, None, self._server.retry_after_us))
             return
         try:
-            opened = engine.accept(pending.request, self.answer)
+            opened = engine.accept(pending.request, self._final)
         except Exception:
             log.exception("request %s failed", pending.request.id)
             if self._serving:
@@ -338,11 +338,16 @@
         if self._serving:  # not answered already
             self._opened = opened
 
+    def _final(self, reply: Reply) -> None:
+        """The end of a request that was taken on. What was turned away here is no measure of what the core
+        can serve, and does not count."""
+        self._server.admission.ended += 1
+        self.answer(reply)
+
     def answer(self, reply: Reply) -> None:
-        """The one place that writes to a client."""
+        """The one place that writes to a client, but for `_shed`."""
         self._opened, self._serving = None, False
         self.last_change = monotonic()
-        self._server.admission.ended += 1
         if self._transport is None:
             return
         # What was sent ahead has been taken and is owed an answer: the last one says `close`.
@@ -440,8 +445,6 @@
         self.retry_after_us = config.settings.max_retry_after_us if config.settings.retry_after else 0
         self._tenants = {name: i for i, name in enumerate(config.tenants)}
         told = config.settings
-        self._classes = {route.name.encode(): i for i, route in enumerate(told.routes)}
-        self._tenant_names = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.admission = Admission(
             [route.worth for route in told.routes],
             process_time,
@@ -553,10 +556,10 @@
     def sheds(self, kind: bytes, tenant: bytes) -> bool:
         """Whether this core has no time for a request. Looks at its class and tenant, and at nothing else: a
         refusal must cost a small part of what it saves."""
-        route = self._classes.get(kind)
+        route = self._routes.get(unquote(kind.decode("latin-1")))
         if route is None:
             return False  # what can't be served is told why
-        return not self.admission.admit(monotonic(), route, self._tenant_names.get(tenant, -1))
+        return not self.admission.admit(monotonic(), route, self._tenants.get(tenant.decode("latin-1"), -1))
 
     def refusal(self) -> bytes:
         """A whole answer that turns a request away."""
--- a/rig/account.py
+++ b/rig/account.py
@@ -135,16 +135,3 @@
             broken.append(f"{record.id}: sent {sends[record.id]} times")
     broken += [f"{name}: does not add up" for name, row in tally(records, works).items() if not row.adds_up()]
     return broken
-
-
-def table(rows: dict[str, Tally]) -> str:
-    """The account for people, a row a class and one for all; times in milliseconds."""
-    head: tuple[str, ...] = ("class", "sent", "in aim", "served", "late", "refused", "failed", "none")
-    head += ("worth", "p50", "p99", "max")
-    lines = [head]
-    for name, row in [*rows.items(), ("all", total(rows.values()))]:
-        times = [f"{percentile(row.took, q) * 1e3:.0f}" for q in (0.5, 0.99, 1.0)]
-        counts = (row.sent, row.in_aim, row.served, row.late, row.refused, row.failed, row.unanswered)
-        lines.append((name, *map(str, counts), f"{row.worth:.0f}", *times))
-    widths = [max(len(line[i]) for line in lines) for i in range(len(head))]
-    return "\n".join("  ".join(cell.rjust(w) for cell, w in zip(line, widths, strict=True)) for line in lines)
--- a/rig/clients.py
+++ b/rig/clients.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from typing import cast
 
 from rig.account import Record, Work
@@ -84,7 +84,6 @@
         self.records: list[Record] = []
         self.unsent = 0
         self.lag = 0.0  # the most that a scheduled arrival was sent late, in seconds
-        self.answered_now: Callable[[Connection, Record | None, bool], None] | None = None
         self._shares = list(itertools.accumulate(shares))
         self._tenants, self._keys, self._most = tenants, keys, most
         self._chance, self._prefix = random.Random(seed), prefix
--- a/rig/stage.py
+++ b/rig/stage.py
@@ -60,7 +60,8 @@
             host.stop()
 
     def load(self, gateway: int = 0, shares: Sequence[float] = (3, 1), **more: Any) -> Load:
-        return Load(self.gateways[gateway].address, self._works, shares, prefix=f"g{gateway}-", **more)
+        more = {"prefix": f"g{gateway}-"} | more
+        return Load(self.gateways[gateway].address, self._works, shares, **more)
 
     def receipts(self) -> list[Receipt]:
         return [receipt for host in self.hosts for receipt in host.receipts]
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -302,15 +302,18 @@
         for shedding, status in ((True, 503), (False, 200), (True, 503)):
             admission.awake = admission.shedding = shedding
             admission._share = [0.0] * len(admission._share)
-            before, came = len(w.hosts[0].seen), sum(admission._came)
-            for path, body in (("/status-check/k", b""), ("/seat-checkout/k", b"take")):
-                got = await client.ask(path, body)
+            before, came, ended = len(w.hosts[0].seen), sum(admission._came), admission.ended
+            # The second says `Connection`, so the glance leaves it to the parser.
+            asked = (("/status-check/k", b"", None), ("/seat-checkout/k", b"take", "keep-alive"))
+            for path, body, more in asked:
+                got = await client.ask(path, body, Connection=more)
                 assert got.status == status
                 if shedding:
                     assert 0.3 <= float(got.headers["retry-after"]) <= 0.6
                     assert got.headers["connection"] == "keep-alive"
             assert len(w.hosts[0].seen) - before == (0 if shedding else 2)
             assert sum(admission._came) - came == (2 if shedding else 0)
+            assert admission.ended - ended == (0 if shedding else 2)  # what was turned away is not served
             assert (await client.ask("/no-such/k")).status == 400
             assert (await client.ask("/up", method="GET")).status == 200
         assert not w.gateway.engine._open
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,43 @@
+"""The rig's own parts that decide: schedules and the account."""
+
+from __future__ import annotations
+
+from rig.account import Receipt, Record, Work, broken_rules, tally
+from rig.schedule import poisson, steady, steps, storm, synchronised
+
+WORK = Work("status-check", 0.5, 1.0, 2.0)
+
+
+def test_schedules_hold_what_they_say() -> None:
+    assert list(steady(4, 1.0)) == [0.0, 0.25, 0.5, 0.75]
+    assert list(steps((2, 1.0), (0, 3.0), (1, 2.0))) == [0.0, 0.5, 4.0, 5.0]
+    assert list(storm(3, 2.0)) == [2.0] * 3
+    assert list(synchronised(2, 2, 0.5)) == [0.0, 0.0, 0.5, 0.5]
+    times = list(poisson(100, 10.0, seed=4))
+    assert times == list(poisson(100, 10.0, seed=4)) == sorted(times)
+    assert 800 < len(times) < 1200
+
+
+def record(name: str, status: int, took: float = 0.1) -> Record:
+    return Record(name, 0, 5.0, WORK.deadline, done=5.0 + took if status else 0.0, status=status)
+
+
+def test_every_request_is_in_one_column() -> None:
+    records = [
+        record("a", 200), record("b", 200, 0.7), record("c", 200, 1.2), record("d", 503), record("e", 504),
+        record("f", 0),
+    ]
+    row = tally(records, [WORK])["status-check"]
+    assert (row.in_aim, row.served, row.late, row.refused, row.failed, row.unanswered) == (1,) * 6
+    assert row.adds_up()
+    assert row.worth == 2.0
+
+
+def test_what_no_gateway_may_do_is_found() -> None:
+    good = [record("a", 200), record("b", 503)]
+    assert broken_rules(good, [Receipt("a", "s-1", 5.0)], [WORK]) == []
+    assert "received by no host" in broken_rules(good, [], [WORK])[0]
+    assert "asked for by nobody" in broken_rules(good, [Receipt(n, "s", 5.0) for n in "ax"], [WORK])[0]
+    assert "sent 5 times" in broken_rules(good, [Receipt("a", "s", 5.0)] * 5, [WORK])[0]
+    assert "after its deadline" in broken_rules([record("a", 200, 1.2)], [Receipt("a", "s", 5.0)], [WORK])[0]
+    assert "an id twice" in broken_rules([record("a", 503)] * 2, [], [WORK])[0]
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -23,8 +23,7 @@
 async def test_a_thousand_clients_at_once_onto_a_busy_gateway(tmp_path: Path) -> None:
     """Those who were there keep being served, and every one of the thousand gets one answer in time."""
     async with Stage(tmp_path, WORKS, hosts=12) as stage:
-        busy, storm = stage.load(seed=1, keys=50), stage.load(seed=2)
-        storm._prefix = "storm-"
+        busy, storm = stage.load(seed=1, keys=50), stage.load(seed=2, prefix="storm-")
         busy_task = asyncio.ensure_future(busy.open_loop(steady(200, 3.0)))
         await until(lambda: len(busy.records) > 100)
         await storm.once(1000)
