The large fleet: windows as wide as the own share of places, attempts out bounded by them

At fault: the limit of a host was at least one request for every gateway (max(1.0, LIMIT / balancers)), 40 a host together where 3 are meant; the window followed own traffic alone (recent, 58 of 60 hosts wide); and where it was full the pick fell back to all hosts.

Change: a share of under one place at each host is one place at that part of the hosts; who is not well is passed over for the next; a full window means waiting in the gateway; own attempts that are not overdue are bounded by the window, which otherwise moves on from hosts in trouble and fills one after another. It grows where own traffic alone fills it (others are gone). In a window the limit is not resized by own answers: others fill the host.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -8,6 +8,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from pinetrack.interface import (
@@ -167,12 +168,17 @@
         self.span_us, self.mean_payoff = MEMORY * settings.ask_within_us, UNKNOWN
         self.recent, self.counted_us, self.admitted = 0.0, 0, 1.0  # requests of late; share not shed
         self.mean_cost_us = min(r.cost_us for r in self.routes)
+        self.guess_us = max(r.cost_us for r in self.routes)  # before anything is learned
         self.shortest_us = min(r.patience_us for r in self.routes)
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
         self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over route cost
-        self.limit = max(1.0, LIMIT / settings.balancers)  # own share of a server's concurrency limit
+        self.limit = LIMIT / settings.balancers  # own share of a server's concurrency limit
         self.crowding = 1.0  # latency in a full server over the uncrowded one, smoothed
         self.warms = True  # the turns at cold servers are ours
+        self.room = max(1.0, self.limit)  # own places at each server drawn from
+        self.width = 0  # servers in the window at the last pick
+        self.flying = 0  # own attempts out that are not overdue
+        self.tally: dict[str, int] = {}  # what was refused, and why; resends, copies and ejections
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
         self.now, self.actions = now_us, []
@@ -184,6 +190,9 @@
             self.drain()
         return self.actions
 
+    def count(self, what: str) -> None:
+        self.tally[what] = self.tally.get(what, 0) + 1
+
     def alarm(self, delay_us: float, act: Callable[[Any], None], about: Any = None) -> None:
         self.tags += 1
         self.alarms[self.tags] = (act, about)
@@ -251,8 +260,10 @@
         self.blocking_share += (self.blocks(route) - self.blocking_share) * weight
         # With no marks, a try that ends sooner than most by more than the aim is a repeat and has lost it.
         lost = not self.settings.clients_mark_repeats and left_us < route.try_us - route.patience_us
-        if (lost and not route.spec.late_worth) or self.random.random() > self.admitted:
-            self.finish(request)
+        if lost and not route.spec.late_worth:
+            self.finish(request, "refused_late")
+        elif self.random.random() > self.admitted:
+            self.finish(request, "refused_share")
         elif self.queued or not self.place(request):
             self.enqueue(request)
 
@@ -268,7 +279,7 @@
     def enqueue(self, request: Request) -> None:
         """Hold a request in the gateway. Rule 1: its alarm ends it once it can no longer meet its aim."""
         if self.out_of_reach(request):
-            return self.finish(request)
+            return self.finish(request, "refused_crossing")
         request.route.queues[request.over].append(request)
         self.queued += 1
         due_us = request.useful_us - (request.route.latency.percentile(0.5) or request.cost_us)
@@ -282,7 +293,7 @@
 
     def shed(self, request: Request) -> None:
         if not request.closed and not request.attempts:
-            self.finish(request)
+            self.finish(request, "refused_queued")
 
     def drain(self) -> None:
         """Send what waits as room allows: worth for cost first; over-quota tenants, marked repeats last."""
@@ -295,8 +306,9 @@
                 queue.popleft()
                 self.queued -= 1
 
-    def finish(self, request: Request) -> None:
+    def finish(self, request: Request, why: str) -> None:
         """Rule 1: the one place that gives a final answer of our own."""
+        self.count(why)
         wait_us = self.settings.max_retry_after_us if self.settings.retry_after else 0
         if request.route.denied and self.crossing is not None and not request.attempts:
             self.crossing.refuse(request.number)
@@ -398,7 +410,11 @@
                 continue  # no work crosses for the sake of a server that its own zone can warm
             if self.is_cold(s) and s.well(self.now) and self.open(request, s):
                 return s
-        near = self.window()  # there no lanes: only a full view tells their share of the work
+        near = self.window()
+        # Guards against a window that passes over servers in trouble and so fills one after another.
+        if near and self.flying >= self.width:
+            return None
+        # In a window no lanes: only a full view tells their share of the work
         lane, part = (self.candidates, 1.0) if near else (self.lane(request.route), LOCAL)
         part = part if crossing is None else 1.0  # a crossing is dearer than a wait at a server with room
         local = near or lane
@@ -406,8 +422,8 @@
             local = [s for s in local if not self.abroad(s)]
         pool = near or local
         if not (a := self.draw(request, local, part) or (near and self.draw(request, pool, part))):
-            panic = not any(s.well(self.now) for s in lane)  # guards against ejecting a whole fleet
-            pool, part = lane, 1.0
+            pool, part = near or lane, 1.0
+            panic = not any(s.well(self.now) for s in pool)  # guards against ejecting a whole fleet
             if not (a := self.draw(request, lane, panic=panic)):
                 return None
         elif crossing is not None and not self.abroad(a):
@@ -417,12 +433,24 @@
         return worse if self.random.random() < EXPLORE else better
 
     def window(self) -> list[ServerState] | None:
-        """The servers to draw from: as many as own traffic keeps a fresh record of, from a place in the order
-        set by own number. Guards against knowing none of them where many balancers share a fleet."""
-        n, width, told = len(self.candidates), max(FEWEST, int(self.recent)), self.settings
+        """The servers that are ours to draw from, from a place in the order set by own number; None: all of
+        them. A share of under one place at each server is one place at that part of them. Guards against
+        balancers that each put one request on every server, and together many times what it bears. More come
+        in where own traffic alone fills those: then others are gone. Who is not well is passed over."""
+        if self.limit >= 1.0:
+            self.room = self.limit
+            return None
+        n, told = len(self.candidates), self.settings
+        filled = self.recent / self.span_us * min(self.mean_cost_us, self.guess_us)
+        places = max(n * self.limit, filled)
+        self.room = max(1.0, places / max(1, n))
+        self.width = width = min(n, max(FEWEST, math.ceil(places)))
         if width >= n:
             return None
         ring = (self.candidates * 2)[n * told.number // told.balancers :][:n]
+        if self.one_zone:
+            return list(islice((s for s in ring if s.well(self.now)), width)) or ring[:width]
+        ring = [s for s in ring if s.well(self.now)] or ring
         # Local ones come in by the price of a crossing, against the misses that load shedding would bear.
         most = round(width * min(LOCAL, told.price_cross_zone / (1.0 - TARGET)))
         local = [s for s in ring if s.spec.zone == told.zone][:most]
@@ -436,7 +464,7 @@
         if len(self.pace) > 1 and 0 < n < len(self.candidates):
             # Drawn by the speed of its kind: in a window too few are in flight for the discount to tell.
             start = self.random.choices(range(n), [2.0 ** -self.pace[s.spec.kind] for s in pool])[0]
-        room = max(1.0, part * self.limit)
+        room = max(1.0, part * self.room)
         for i in range(start, start + n):
             s = pool[i % n]
             if s is other or s.taken() + 1 > room or not (panic or s.well(self.now)):
@@ -447,7 +475,7 @@
         return None
 
     def open(self, request: Request, s: ServerState) -> bool:
-        return s.taken() + 1 <= max(1.0, self.limit) and self.may_send(request, s)
+        return s.taken() + 1 <= self.room and self.may_send(request, s)
 
     def blocks(self, route: RouteState) -> bool:
         """Whether a route's requests run longer than another's aim: short ones behind them miss theirs."""
@@ -463,7 +491,7 @@
 
     def score(self, s: ServerState) -> float:
         crossing = self.settings.price_cross_zone * self.abroad(s)
-        return (self.payoff(s) - crossing) / (1.0 + s.taken() / self.limit)
+        return (self.payoff(s) - crossing) / (1.0 + s.taken() / self.room)
 
     def send(self, request: Request, server: ServerState) -> None:
         route, attempt = request.route, Attempt(server, self.now)
@@ -477,8 +505,9 @@
             route.budget.earn(EARN, max(1.0, min(TOKENS, SAVED * self.recent)))
         request.attempts.append(attempt)
         request.out += 1
+        self.flying += 1
         server.in_flight += 1
-        attempt.full = server.in_flight + 1 > self.limit
+        attempt.full = server.in_flight + 1 > self.room
         server.turn_us -= request.cost_us
         route.due.append((self.now + route.patience_us, attempt))
         self.actions.append(Send(request.id, server.spec.id))
@@ -489,6 +518,7 @@
         """A second copy of a slow request; it spends a token, and sheds itself where others wait."""
         wanted = not request.closed and request.out == 1 and not self.queued
         if wanted and (server := self.pick(request)) is not None and request.route.budget.spend():
+            self.count("copies")
             self.send(request, server)
 
     def on_done(self, event: AttemptDone) -> None:
@@ -503,7 +533,7 @@
         elif not request.out:  # a retry group ended without an answer: attempts, classifier and budget decide
             left = len(request.attempts) < self.settings.max_attempts
             again = left and classify(request, event.outcome) and request.route.budget.spend()
-            (self.back_off if again else self.finish)(request)
+            self.back_off(request) if again else self.finish(request, "refused_again")
 
     def back_off(self, request: Request) -> None:
         """Waits grow between retry groups; spent time ends the request."""
@@ -512,7 +542,7 @@
         if self.now + wait_us + request.cost_us < request.useful_us:
             self.alarm(wait_us, self.send_again, request)
         else:
-            self.finish(request)
+            self.finish(request, "refused_time")
 
     def send_again(self, request: Request) -> None:
         """With no room it waits again, not in the queue, where it could block those that may go anywhere."""
@@ -527,6 +557,7 @@
         """What an outcome says of its server, its kind and its route."""
         s, outcome = attempt.server, event.outcome
         s.overdue, s.in_flight = s.overdue - attempt.late, s.in_flight - 1
+        self.flying -= not attempt.late
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
         if outcome is Outcome.SUCCESS:
@@ -537,7 +568,8 @@
             if attempt.alone or route.samples < 64:  # slower and slower, lest a jam become the yardstick
                 step = (event.elapsed_us - route.cost_us) / min(route.samples, 1024)
                 route.cost_us = max(1.0, route.cost_us + step)  # what it divides is never 0
-            if attempt.full and route.samples >= 64:
+            # In a window it is others that fill a server: own answers tell nothing of how many it bears.
+            if attempt.full and route.samples >= 64 and self.limit >= 1.0:
                 self.resize(event.elapsed_us / route.cost_us)
             aim_us = route.spec.aim_us or route.latency.percentile(0.5) or event.elapsed_us
             route.latency.append(event.elapsed_us)
@@ -555,6 +587,7 @@
                 attempt = route.due.popleft()[1]
                 if attempt.outcome is None:
                     attempt.late = True
+                    self.flying -= 1
                     attempt.server.overdue += 1
                     attempt.server.missed_us = max(attempt.server.missed_us, attempt.sent_us)
                     self.blame(attempt.server)
@@ -596,6 +629,7 @@
         first_us = max(TRIALS * sharing * self.mean_cost_us, *(r.spec.deadline_us for r in self.routes))
         wait_us = int(first_us * min(4, 2**s.ejections))
         s.ejections += 1
+        self.count("ejections")
         s.ejected_until_us = s.heard_us = self.now + wait_us
         s.payoff = UNKNOWN
         self.actions.append(Log(f"eject server={s.spec.id} for_ms={wait_us // 1000}"))
--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -125,6 +125,22 @@
         """Requests that wait in the module for a place at a host."""
         return self._balancer.queued
 
+    @property
+    def grown(self) -> dict[str, int]:
+        """What the module has counted since its start."""
+        return self._balancer.tally
+
+    @property
+    def stands(self) -> dict[str, float]:
+        """How the module stands at the moment."""
+        module = self._balancer
+        return {
+            "open": len(self._open), "queued": module.queued, "admitted": round(module.admitted, 3),
+            "width": module.width, "limit": round(module.limit, 2), "pace": round(module.recent, 1),
+            "ejected": sum(not s.well(self._latest_us) for s in module.candidates),
+            "cold": len(module.cold), "hosts": len(module.candidates),
+        }
+
     # From the client side.
 
     def accept(self, request: ClientRequest, reply: Callable[[Reply], None]) -> OpenRequest:
--- a/quillroad/gateway.py
+++ b/quillroad/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
 import socket
 import sys
@@ -25,6 +26,7 @@
 from quillroad.upstream import Upstream
 
 if TYPE_CHECKING:
+    from quillroad.counts import Counts
     from quillroad.membership.consul.registrar import Registrar
     from quillroad.zones.zones import Zones
 
@@ -92,6 +94,11 @@
 
             self.registrar = Registrar(config.register, config, lambda: self.engine.ready)
         self.server = server(loop, config, self.engine, descriptors, self.upstream.drop_oldest_idle, heart)
+        self.counts: Counts | None = None
+        if os.environ.get("QUILLROAD_COUNTS"):
+            from quillroad.counts import Counts  # noqa: PLC0415
+
+            self.counts = Counts(loop, self.engine, self.upstream)
         self.port = 0
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -114,6 +121,8 @@
             self.zones.start()
         if self.registrar is not None:
             self.registrar.start()
+        if self.counts is not None:
+            self.counts.start()
         self._sweeper = self.loop.create_task(self._sweep())
 
     def reload(self, read: Callable[[], Config]) -> None:
@@ -175,6 +184,8 @@
             self.zones.stop()
         if self.registrar is not None:
             self.registrar.stop()
+        if self.counts is not None:
+            self.counts.stop()
         if self._sweeper is not None:
             self._sweeper.cancel()
 
--- a/quillroad/upstream.py
+++ b/quillroad/upstream.py
@@ -305,6 +305,7 @@
         self._connect_timeout_s, self._idle_s = connect_timeout_s, idle_s * IDLE_PART
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: dict[HostConnection, None] = {}  # all hosts' idle ones, the longest idle first
+        self.connects = self.failed_connects = 0  # since the start
 
     def start(self, host: Host, request: bytes, timeout_s: float, done: Done) -> Attempt:
         """Begin an attempt on the connection used last that has settled, which is the least likely to be
@@ -327,6 +328,7 @@
             self._loop.call_soon(attempt.withdraw)
             return attempt
         host.connecting.add(attempt)
+        self.connects += 1
         self._descriptors.used += 1
         connection = HostConnection(self, host)
         attempt.task = self._loop.create_task(self._connect(attempt, connection, request))
@@ -334,6 +336,11 @@
         attempt.task.add_done_callback(partial(self._connected, connection))
         return attempt
 
+    @property
+    def resting(self) -> int:
+        """Connections that carry no request."""
+        return len(self._idle)
+
     def later(self, act: Callable[[], None]) -> asyncio.TimerHandle:
         """After the time that a connect may take: the settings' own measure of a network that is stuck."""
         return self._loop.call_at(monotonic() + self._connect_timeout_s, self._unless_stalled, act)
@@ -349,6 +356,7 @@
         its own, and its descriptor would count for ever."""
         self._tasks.discard(task)
         if connection.transport is None:
+            self.failed_connects += 1
             self.forget(connection)
         elif task.cancelled():
             # Cancelled in the turn in which it came up: uvloop closes the socket and tells nobody.
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from pinetrack import balance
 from pinetrack.interface import (
@@ -350,8 +353,47 @@
 
 def test_a_balancer_with_all_the_traffic_draws_from_the_whole_fleet() -> None:
     stage = Stage(many(), fleet())
-    stage.warm_up(300, 1_000)
+    for _ in range(5000):
+        stage.arrive()
+        stage.pass_time(250)
     assert stage.balancer.window() is None
+    assert stage.balancer.room > 1.0  # and has more than one place at each server
+
+
+@given(st.integers(4, 80), st.integers(3, 60), st.data())
+def test_windows_of_many_balancers_fill_no_server_beyond_what_it_bears(
+    servers: int, balancers: int, data: st.DataObject
+) -> None:
+    """Forty gateways with one request each at every host put 600 on sixty hosts that bear 180."""
+    bad = data.draw(st.sets(st.integers(0, servers - 1), max_size=servers // 4))
+    together: Counter[int] = Counter()
+    for number in range(balancers):
+        stage = Stage(settings(balancers=balancers, number=number), servers)
+        for s in stage.balancer.candidates:
+            if s.spec.id - 100 in bad:
+                s.ejected_until_us = 10**9
+        for _ in range(servers):  # nothing is answered
+            stage.arrive()
+        out = [s for sent in stage.sends.values() for s in sent]
+        assert out and not {s - 100 for s in out} & bad
+        assert len(out) <= stage.balancer.width * stage.balancer.room or stage.balancer.window() is None
+        together.update(out)
+    share = max(balance.FEWEST, math.ceil(servers * balance.LIMIT / balancers))
+    assert sum(together.values()) <= max(balancers * share, servers * (balancers // 3 + 1) * 3)
+
+
+def test_a_window_that_moves_on_from_servers_in_trouble_does_not_fill_one_after_another() -> None:
+    """Large fleet: every gateway passed over what it took for bad, and 14 requests each were out where 5 may
+    be."""
+    stage = Stage(many(balancers=40, number=3), fleet())
+    width = 0
+    for _ in range(60):
+        stage.arrive()
+        width = max(width, stage.balancer.width)
+        for s in stage.balancer.candidates:
+            if s.in_flight:
+                s.ejected_until_us = stage.now + 10_000_000
+    assert len(stage.sends) == width < 12
 
 
 def test_in_a_window_no_lane_is_kept_for_long_requests() -> None:
@@ -542,6 +584,7 @@
     shares = []
     for balancer in (dear, cheap):
         balancer.recent = 12.0
+        balancer.limit = 0.2
         window = balancer.window() or []
         assert len(window) == len({s.spec.id for s in window}) == 12
         shares.append(sum(s.spec.zone == 0 for s in window))
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -202,7 +202,7 @@
 
 
 def break_send_after_end(monkeypatch: pytest.MonkeyPatch) -> None:
-    def finish(self: Balancer, request: balance.Request) -> None:
+    def finish(self: Balancer, request: balance.Request, why: str) -> None:
         self.actions.append(Fail(request.id))
         if server := self.pick(request):
             self.send(request, server)
