--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import json
-from collections import defaultdict
+from collections import Counter, defaultdict
 from pathlib import Path
+from typing import Any
 
 import click
 from rich.console import Console
@@ -20,9 +21,9 @@
 Row = dict[str, float]
 
 
-def read(folder: Path) -> dict[int, Row]:
-    """The fleet's figures by second; lines that hold none are passed over."""
-    rows: dict[int, list[Row]] = defaultdict(list)
+def lines(folder: Path) -> dict[int, list[dict[str, Any]]]:
+    """What all gateways said, by second; lines that hold no counts are passed over."""
+    rows: dict[int, list[dict[str, Any]]] = defaultdict(list)
     for file in sorted(folder.glob("*.log")):
         for line in file.read_text(encoding="utf-8", errors="replace").splitlines():
             start, found, rest = line.partition("quillroad.counts: ")
@@ -33,14 +34,30 @@
             except (ValueError, IndexError):
                 continue
             rows[second].append(row)
-    return {second: _sum(rows[second]) for second in sorted(rows)}
+    return {second: rows[second] for second in sorted(rows)}
+
+
+def read(folder: Path) -> dict[int, Row]:
+    """The fleet's figures by second."""
+    return {second: _sum(rows) for second, rows in lines(folder).items()}
+
+
+def worst(folder: Path) -> dict[int, Counter[str]]:
+    """Failed attempts by second and host."""
+    found: dict[int, Counter[str]] = {}
+    for second, rows in lines(folder).items():
+        found[second] = Counter()
+        for row in rows:
+            found[second].update(row.get("bad", {}))
+    return found
 
 
-def _sum(rows: list[Row]) -> Row:
+def _sum(rows: list[dict[str, Any]]) -> Row:
     total: Row = defaultdict(float)
     for row in rows:
         for name, value in row.items():
-            total[name] += value
+            if name != "bad":
+                total[name] += value
     for name in MEANS:
         total[name] /= len(rows)
     if total["success"]:
@@ -69,10 +86,15 @@
 
 @click.command()
 @click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--hosts", is_flag=True, help="failed attempts by second and host, instead")
 @click.option("--plot", "picture", type=click.Path(path_type=Path), help="write a plot here, too")
-def main(folder: Path, picture: Path | None) -> None:
+def main(folder: Path, hosts: bool, picture: Path | None) -> None:
     """The table of one folder of logs."""
     rows = read(folder)
+    if hosts:
+        for second, counts in worst(folder).items():
+            click.echo(f"{second:4d}  " + "  ".join(f"{name} {n:g}" for name, n in counts.most_common(8)))
+        return
     names = sorted({name for row in rows.values() for name in row} - {"up"})
     table = Table("second", "up", *names)
     for second, row in rows.items():
--- a/quillroad/counts.py
+++ b/quillroad/counts.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from functools import partial
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from pinetrack.interface import Outcome
 
@@ -25,6 +25,7 @@
 log = logging.getLogger("quillroad.counts")
 
 EVERY_S = 1.0
+WORST = 8  # hosts named in a line
 
 
 class Counts:
@@ -34,6 +35,7 @@
         self._loop, self._engine, self._upstream = loop, engine, upstream
         self._now: Counter[str] = Counter()
         self._before: Counter[str] = Counter()  # of what only grows
+        self._bad: Counter[str] = Counter()  # failed attempts by host
         self._timer: asyncio.TimerHandle | None = None
         self._next, engine.observe = engine.observe, self._sent
 
@@ -56,13 +58,17 @@
         self._now[outcome.value] += 1
         if outcome is Outcome.SUCCESS:
             self._now["answer_ms"] += int((at - began) * 1000)
+        elif outcome is not Outcome.CANCELLED:
+            self._bad[host.name] += 1
         done(outcome, answer, at)
 
     def _tell(self) -> None:
         self.start()
         grown = Counter(self._engine.grown)
         grown["connects"], grown["no_connect"] = self._upstream.connects, self._upstream.failed_connects
-        line = dict(self._now + (grown - self._before)) | self._engine.stands
+        line: dict[str, Any] = dict(self._now + (grown - self._before)) | self._engine.stands
         line["idle"] = self._upstream.resting
+        line["bad"] = dict(self._bad.most_common(WORST))
+        self._bad.clear()
         self._before, self._now = grown, Counter()
         log.info("%s", json.dumps(line))
