Shared windows: two and a half places a host, rests after quick failures, no share refused

At fault: load shedding by the share of attempts in time counted errors and full hosts as a jam, where the window already bounds what is out; a payoff falls under the threshold of ejection only after nine failures in a row, at each of forty gateways; places were rounded up by every gateway (3.3 a host instead of 3).

Change: in a window no share is refused; a quick failure rests the host for 250 ms, doubled with each; places are dealt out in whole ones by number; 2.5 a host where more than three gateways share it.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -30,6 +30,10 @@
 OUTLIER = 0.3  # a payoff below this ejects: quick to leave a bad server against patience with an unlucky one
 TRIALS = 2.0  # first ejection, in the work of one trial by each balancer sharing: rest against early return
 LIMIT = 3.0  # concurrency limit of a server, over all balancers, at first: room for large machines is learned
+REST_US = 250_000  # after a first quick failure, doubled with each up to 8 s: early against wrong knowledge
+SHARED = 2.5  # LIMIT where more balancers share a server, of which none sees the others. 3.3, 3.0 and 2.5
+# gave G of 0.62, 0.67 and 0.68 (churn+huge), 0.72, 0.76 and 0.82 (join+disco+huge), seeds 5
+GOLDEN = 0.618  # spreads the fractions of consecutive numbers evenly
 WAITING = 1.0  # requests in a full server that wait for others: a busy machine against jams that no one sees
 ROOM = 0.001  # what the limit gains or loses by one answer: quick to learn against steady
 TARGET = 0.7  # share of attempts in time at which load shedding holds: use of the fleet against wasted work
@@ -38,7 +42,7 @@
 COLD_SAFETY = 0.5  # part of the told cold-start budget to use: a window can touch two turns in full
 LOCAL = 0.5  # local servers take all while one is filled under this part of its limit: crossings or waits
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
-FEWEST = 4  # servers in the smallest window: one bad server must leave a choice
+FEWEST = 3  # servers in the smallest window: one bad server must leave a choice
 
 
 class TokenBucket:
@@ -93,6 +97,7 @@
         self.missed_us, self.answered_us = 0, -1  # when the newest overdue and the newest answered were sent
         self.heard_us = 0  # when an outcome last told of it
         self.ejections = self.ejected_until_us = 0
+        self.failures = 0  # quick ones since the last answer
         self.turn, self.turn_us = -1, 0.0  # slow start: our last turn at it, and the work left in that turn
         self.beside = (0, 0)  # of the two counts above, what is another process's of this gateway
 
@@ -172,7 +177,8 @@
         self.shortest_us = min(r.patience_us for r in self.routes)
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
         self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over route cost
-        self.limit = LIMIT / settings.balancers  # own share of a server's concurrency limit
+        # Own share of a server's concurrency limit.
+        self.limit = (LIMIT if settings.balancers <= LIMIT else SHARED) / settings.balancers
         self.crowding = 1.0  # latency in a full server over the uncrowded one, smoothed
         self.warms = True  # the turns at cold servers are ours
         self.room = max(1.0, self.limit)  # own places at each server drawn from
@@ -262,7 +268,8 @@
         lost = not self.settings.clients_mark_repeats and left_us < route.try_us - route.patience_us
         if lost and not route.spec.late_worth:
             self.finish(request, "refused_late")
-        elif self.random.random() > self.admitted:
+        elif self.limit >= 1.0 and self.random.random() > self.admitted:
+            # In a window what is out is bounded: no jam is fed, and hosts that fail say nothing of one.
             self.finish(request, "refused_share")
         elif self.queued or not self.place(request):
             self.enqueue(request)
@@ -444,7 +451,8 @@
         filled = self.recent / self.span_us * min(self.mean_cost_us, self.guess_us)
         places = max(n * self.limit, filled)
         self.room = max(1.0, places / max(1, n))
-        self.width = width = min(n, max(FEWEST, math.ceil(places)))
+        # Whole places, dealt out by number: all rounded up they were a tenth more than servers bear.
+        self.width = width = min(n, max(FEWEST, int(places + told.number * GOLDEN % 1.0)))
         if width >= n:
             return None
         ring = (self.candidates * 2)[n * told.number // told.balancers :][:n]
@@ -561,7 +569,7 @@
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
         if outcome is Outcome.SUCCESS:
-            s.ejections, s.answered_us = 0, max(s.answered_us, attempt.sent_us)
+            s.ejections, s.failures, s.answered_us = 0, 0, max(s.answered_us, attempt.sent_us)
             pace = math.log2(max(event.elapsed_us / route.cost_us, 0.01))
             self.pace[s.spec.kind] += (pace - self.pace[s.spec.kind]) * SMOOTH
             route.samples += 1
@@ -576,6 +584,12 @@
             if event.elapsed_us <= aim_us or route.spec.aim_us is None:
                 # With no aim half of all answers are slower than the median: no sign of a jam or an outlier.
                 return self.credit(s, float(event.elapsed_us <= aim_us), route.spec.aim_us is not None)
+        if self.limit < 1.0 and outcome is not Outcome.TIMEOUT:
+            # It failed at once, and the next in the ring is as near: a rest that grows costs less than to
+            # learn by a dozen failures, at each of many balancers, that a server is gone or errs.
+            rest_us = int(REST_US * 2.0 ** min(s.failures, 5))
+            s.failures += 1
+            s.ejected_until_us = max(s.ejected_until_us, self.now + rest_us)
         if not attempt.late:
             # Where nobody listens there is no jam: it says that this server is gone, not to admit less.
             self.blame(s, outcome is not Outcome.CONNECT_FAILED)
