A cold host gets as many requests at once as a warm one, in the own turn

At fault: open() allowed a cold host the one place that a window has at a host, though in a turn nobody else sends there; and min(1.0, COLD_SAFETY * fall_multiple) held a turn to one core's work at most, 1.0 where the rule with its half in hand allows 1.5.

Change: in a window the own turn has all places at the host, and the told budget in full.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -404,7 +404,8 @@
             return False
         warmth = told.cold_from + (1.0 - told.cold_from) * since_us / told.cold_us
         if turn != s.turn:
-            s.turn, s.turn_us = turn, min(1.0, COLD_SAFETY * told.fall_multiple) * warmth * self.turn_us
+            most = COLD_SAFETY * told.fall_multiple
+            s.turn, s.turn_us = turn, (most if self.limit < 1.0 else min(1.0, most)) * warmth * self.turn_us
         return request.cost_us <= min(s.turn_us, warmth * (request.useful_us - self.now))
 
     def pick(self, request: Request) -> ServerState | None:
@@ -483,7 +484,9 @@
         return None
 
     def open(self, request: Request, s: ServerState) -> bool:
-        return s.taken() + 1 <= self.room and self.may_send(request, s)
+        # In a window nobody else sends to a cold server in our turn: all its places are ours.
+        room = max(self.room, SHARED) if self.limit < 1.0 else self.room
+        return s.taken() + 1 <= room and self.may_send(request, s)
 
     def blocks(self, route: RouteState) -> bool:
         """Whether a route's requests run longer than another's aim: short ones behind them miss theirs."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -562,6 +562,21 @@
         assert work <= 2.5 * warmth * window_us
 
 
+def test_in_a_window_the_own_turn_at_a_cold_server_takes_all_its_places() -> None:
+    """churn+huge, seed 5: 15 of 55 hosts were cold and had one request at a time while others jammed."""
+    told = {"balancers": 40, "cold_us": 10_000_000, "cold_from": 0.5, "fall_multiple": 3.0}
+    start, most = 50_000_000, 0
+    for number in range(40):
+        balancer = balance.Balancer(settings(route(), number=number, **told), number)
+        balancer.routes[0].cost_us = 10_000.0
+        servers = (Server(7, started_us=start), *(Server(100 + i) for i in range(59)))
+        balancer.handle(start, [ServerList(ListKind.CACHED, servers)])
+        for request in range(6):
+            balancer.handle(start, [Arrived(request, 0, start + DEADLINE_US)])
+        most = max(most, balancer.servers[7].in_flight)
+    assert most == int(balance.SHARED)
+
+
 def test_a_dead_zone_is_not_panicked_into() -> None:
     here = [Server(i, zone=0) for i in range(1, 4)]
     there = [Server(i, zone=1) for i in range(11, 14)]
