A watch that ended is asked for again soon, and what came before a reset is taken

Change: a watch that had its list and ended is asked for after 0.2 s, growing while such watches are short; a silent one, most often everybody's at once, keeps to its round. What came before a reset is taken.

--- a/quillroad/membership/pacing.py
+++ b/quillroad/membership/pacing.py
@@ -16,6 +16,7 @@
 # call from each of any number of gateways in 2 to 8 s.
 RATE = 4.0
 FEW = 3  # so many gateways need no rounds: they have no part in a crowd
+LASTED_S = 2.0  # of a watch that counts as one
 BROKEN_S = 0.2  # after an answer that broke off: it was our turn, and what it told is still wanted
 
 
@@ -29,13 +30,18 @@
         self._most_s = max(MOST_S, self._first_s)
         self._round_s, self._broken_s = self._first_s, BROKEN_S
 
-    def succeeded(self) -> None:
-        """A list has come."""
-        self._round_s, self._broken_s = self._first_s, BROKEN_S
+    def succeeded(self, lived_s: float) -> None:
+        """A list has come, on a watch that lasted so long: one that ends early each time is no reason to ask
+        soon."""
+        self._round_s = self._first_s
+        if lived_s >= LASTED_S:
+            self._broken_s = BROKEN_S
 
     def wait_s(self, answered: bool = False) -> float:
-        """Seconds until the next call. `answered` says that an answer to this one had begun and broke off, so
-        that it is not for want of time that it failed."""
+        """Seconds until the next call. `answered` says that this one had its list or a part of it before it
+        ended, so that it was not for want of time: then it is asked again soon, for most often only one
+        gateway lost its watch. Not so where all fell silent: forty that then asked at once were turned away
+        or served late for 20 s."""
         if answered and self._broken_s < self._round_s:
             wait_s, self._broken_s = self._broken_s, self._broken_s * 2
             return wait_s * (0.5 + self._draw() / 2)
--- a/quillroad/membership/platform.py
+++ b/quillroad/membership/platform.py
@@ -12,6 +12,7 @@
 import logging
 import random
 from collections.abc import Mapping
+from time import monotonic
 from typing import Any
 
 import httptools
@@ -26,6 +27,7 @@
 log = logging.getLogger("quillroad.membership.platform")
 
 STATES = {"up": State.READY, "draining": State.DRAINING, "removed": State.GONE}
+SILENT = "silent"
 SILENCE_S = 3.0  # an empty line is due every 2 s
 CONNECT_S = 1.0
 LINE_LIMIT = 4 * 1024 * 1024
@@ -35,6 +37,21 @@
     """The watch sent what is no list."""
 
 
+class _Reader(asyncio.StreamReader):
+    """Gives what came before a reset, too: it has been told, and the library's own drops it."""
+
+    def set_exception(self, exc: BaseException) -> None:
+        self.feed_eof()
+
+
+async def _connect(address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    loop = asyncio.get_running_loop()
+    reader = _Reader(loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, *address)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 class Discovery:
     """One watch after another."""
 
@@ -100,18 +117,21 @@
         pacing = Pacing(told.balancers, told.number, random.Random(self._config.seed).random)
         while True:
             self._heard, self._unread = False, False
+            began = monotonic()
             try:
                 await self._watch()
                 reason = "ended"
             except (OSError, TimeoutError, Malformed, httptools.HttpParserError) as error:
-                reason = str(error) or type(error).__name__
+                reason = str(error) or (SILENT if isinstance(error, TimeoutError) else type(error).__name__)
             except Exception:
                 # With no watch a drain would go unheard while all else seems well: no fault may end it.
                 log.exception("the watch of hosts failed")
                 reason = "a fault of ours"
             if self._heard:
-                pacing.succeeded()
-            wait_s = pacing.wait_s(self._unread and not self._heard)
+                pacing.succeeded(monotonic() - began)
+            # Silence is most often everybody's at once, and an end one gateway's own.
+            ended = self._heard and reason != SILENT
+            wait_s = pacing.wait_s(self._unread or ended)
             log.warning("watch of hosts lost: %s; again in %.1f s", reason, wait_s)
             await asyncio.sleep(wait_s)
 
@@ -126,7 +146,7 @@
     async def _ask(self, target: str) -> None:
         """Take each line of an answer as it comes."""
         async with asyncio.timeout(CONNECT_S):
-            reader, writer = await asyncio.open_connection(*self.address)
+            reader, writer = await _connect(self.address)
         try:
             self._buffer, self._status, self._ended = b"", 0, False
             self._parser = httptools.HttpResponseParser(self)
--- a/tests/membership/test_pacing.py
+++ b/tests/membership/test_pacing.py
@@ -42,5 +42,7 @@
     waits = [pacing.wait_s(answered=True) for _ in range(8)]
     assert waits[0] <= BROKEN_S and waits[0] < waits[2] < waits[4]
     assert waits[-1] > 9.0  # no better than any other failure in the end
-    pacing.succeeded()
+    pacing.succeeded(0.1)
+    assert pacing.wait_s(answered=True) > 5.0  # a watch that ends early each time is asked for in rounds
+    pacing.succeeded(30.0)
     assert pacing.wait_s(answered=True) <= BROKEN_S
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -191,6 +191,15 @@
         await until(lambda: all(host.ready for host in w.gateway.engine.hosts.values()))
 
 
+@on_loop
+async def test_what_came_before_a_reset_is_taken() -> None:
+    """A watch that is reset right behind the line that tells of a drain has told it."""
+    async with world(serve_ok, serve_ok) as w:
+        w.discovery.tell(w.hosts[0].entry(lifecycle="draining"))
+        w.discovery.watches[-1].transport.abort()
+        await until(lambda: sum(host.ready for host in w.gateway.engine.hosts.values()) == 1)
+
+
 STATES = st.lists(st.sampled_from(["up", "draining", "removed"]), max_size=6)
 
 
