Review: a window outlives an upgrade, and a watch called off tells nothing more

Seen on reading the change again: a move to another process set the limit to 1 at the least, which ended the window of a gateway among many; attempts of the other process, and own ones moved along, did not count in the bound on what is out; a watch called off for another discovery's still took drains from its broken line; a whole list with no line's end counted as broken; a line of braces cost as many attempts to read it as it had.

Change: the limit of a window is never taken over, the count of own attempts out is restored, the other process's part is told anew each time, rests move along; broken lines are looked at where a watch has ended by itself, at 64 unreadable places at the most.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -184,8 +184,8 @@
         self.warms = True  # the turns at cold servers are ours
         self.room = max(1.0, self.limit)  # own places at each server drawn from
         self.width = 0  # servers in the window at the last pick
-        self.flying = 0  # own attempts out that are not overdue
-        self.tally: dict[str, int] = {}  # what was refused, and why; resends, copies and ejections
+        self.flying = self.beside = 0  # attempts out and not overdue: own, of this gateway's other process
+        self.tally: dict[str, int] = {}  # what was refused, and why; copies and ejections
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
         self.now, self.actions = now_us, []
@@ -248,7 +248,7 @@
     def on_beside(self, event: Beside) -> None:
         """What another process of this gateway has out counts as ours: guards against two that each fill a
         server's limit, and, by `warms`, against two that use one turn at a cold server."""
-        self.warms = event.warms
+        self.warms, self.beside = event.warms, sum(out - late for out, late in event.out.values())
         for s in self.servers.values():
             out, late = event.out.get(s.spec.id, (0, 0))
             s.in_flight, s.overdue = s.in_flight + out - s.beside[0], s.overdue + late - s.beside[1]
@@ -421,7 +421,7 @@
                 return s
         near = self.window()
         # Guards against a window that passes over servers in trouble and so fills one after another.
-        if near and self.flying >= self.width:
+        if near and self.flying + self.beside >= self.width:
             return None
         # In a window no lanes: only a full view tells their share of the work
         lane, part = (self.candidates, 1.0) if near else (self.lane(request.route), LOCAL)
--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -136,7 +136,8 @@
         module = self._balancer
         return {
             "open": len(self._open), "queued": module.queued, "admitted": round(module.admitted, 3),
-            "width": module.width, "limit": round(module.limit, 2), "pace": round(module.recent, 1),
+            "width": module.width or len(module.candidates), "limit": round(module.limit, 2),
+            "pace": round(module.recent, 1),
             "ejected": sum(not s.well(self._latest_us) for s in module.candidates),
             "cold": len(module.cold), "hosts": len(module.candidates),
         }
--- a/quillroad/membership/platform.py
+++ b/quillroad/membership/platform.py
@@ -116,7 +116,7 @@
         told = self._config.settings
         pacing = Pacing(told.balancers, told.number, random.Random(self._config.seed).random)
         while True:
-            self._heard, self._unread = False, False
+            self._heard, self._unread, self._buffer = False, False, b""
             began = monotonic()
             try:
                 await self._watch()
@@ -127,6 +127,10 @@
                 # With no watch a drain would go unheard while all else seems well: no fault may end it.
                 log.exception("the watch of hosts failed")
                 reason = "a fault of ours"
+            # Here, where a watch that was called off for another's never comes.
+            if self._buffer.strip():
+                self._unread = True
+                self._salvage(self._buffer)
             if self._heard:
                 pacing.succeeded(monotonic() - began)
             # Silence is most often everybody's at once, and an end one gateway's own.
@@ -163,6 +167,7 @@
                 *lines, self._buffer = self._buffer.split(b"\n")
                 if self._ended:
                     lines.append(self._buffer)  # a whole list need not end in a line's end
+                    self._buffer = b""
                 if len(self._buffer) > LINE_LIMIT:
                     raise Malformed("a line without end")
                 for line in lines:
@@ -176,9 +181,6 @@
                         self._heard = True
         finally:
             writer.close()
-            if self._buffer.strip():
-                self._unread = True
-                self._salvage(self._buffer)
 
     # Callbacks of the parser.
 
--- a/quillroad/membership/salvage.py
+++ b/quillroad/membership/salvage.py
@@ -9,7 +9,7 @@
 import json
 from typing import Any
 
-LONGEST = 256 * 1024  # bytes looked at
+LONGEST, MOST_UNREADABLE = 256 * 1024, 64  # bytes looked at; places where no entry could be read
 _decode = json.JSONDecoder().raw_decode
 
 
@@ -19,11 +19,13 @@
     at = text.find('"instances"')
     at = text.find("{", at) if at >= 0 else -1
     names: list[str] = []
-    while at >= 0:
+    unreadable = 0
+    while at >= 0 and unreadable < MOST_UNREADABLE:
         entry: Any
         try:
             entry, end = _decode(text, at)
         except (ValueError, RecursionError):
+            unreadable += 1
             end = at + 1  # past what can't be read, the next entry may be whole
         else:
             if entry.get("lifecycle") in ("draining", "removed") and isinstance(entry.get("instanceId"), str):
--- a/quillroad/upgrade/knowledge.py
+++ b/quillroad/upgrade/knowledge.py
@@ -48,6 +48,7 @@
     turn: int = -1
     turn_us: float = 0.0
     listed: bool = True  # not, where only an open request still knows of it
+    failures: int = 0
 
 
 class RouteKnown(Struct):
@@ -225,7 +226,8 @@
         balancer.mean_payoff = told.mean_payoff
     if told.mean_cost_us is not None:
         balancer.mean_cost_us = max(1.0, told.mean_cost_us)
-    if told.limit is not None:
+    # In a window nothing is learned of it: it follows from how many share, and one of 1 would end the window.
+    if told.limit is not None and balancer.limit >= 1.0:
         balancer.limit = max(1.0, told.limit * told.balancers / balancer.settings.balancers)
     if told.chance is not None:
         balancer.random.setstate(told.chance)
@@ -251,7 +253,7 @@
             self.known.append(ServerKnown(
                 spec.id, spec.state.value, spec.zone, spec.cell, spec.kind, spec.hint, spec.started_us,
                 s.payoff, s.heard_us, s.in_flight - s.beside[0], s.overdue - s.beside[1], s.missed_us,
-                s.answered_us, s.ejections, s.ejected_until_us, s.turn, s.turn_us, listed,
+                s.answered_us, s.ejections, s.ejected_until_us, s.turn, s.turn_us, listed, s.failures,
             ))
         return self._places[id(s)]
 
@@ -280,9 +282,10 @@
     state.payoff, state.heard_us = told.payoff, told.heard_us
     state.missed_us, state.answered_us = told.missed_us, told.answered_us
     state.ejections, state.ejected_until_us = told.ejections, told.ejected_until_us
-    state.turn, state.turn_us = told.turn, told.turn_us
+    state.turn, state.turn_us, state.failures = told.turn, told.turn_us, told.failures
     if work:
         state.in_flight, state.overdue = told.in_flight, told.overdue
+        balancer.flying += told.in_flight - told.overdue
     return state
 
 
--- a/tests/upgrade/test_knowledge.py
+++ b/tests/upgrade/test_knowledge.py
@@ -8,7 +8,18 @@
 from hypothesis import strategies as st
 
 from pinetrack.balance import Balancer
-from pinetrack.interface import Action, Beside, Event, ListKind, Outcome, Send, Server, ServerList, State
+from pinetrack.interface import (
+    Action,
+    Arrived,
+    Beside,
+    Event,
+    ListKind,
+    Outcome,
+    Send,
+    Server,
+    ServerList,
+    State,
+)
 from quillroad.upgrade.knowledge import VERSION, Knowledge, Names, adopt, export, out_at, share_budgets
 from tests.helpers import Stage, route
 from tests.helpers import settings as told_settings
@@ -106,6 +117,18 @@
     assert all(s.in_flight == s.overdue == 0 for s in after.servers.values())
 
 
+def test_a_window_stays_one_after_the_move_and_is_full_for_both() -> None:
+    stage = Stage(told_settings(route(), balancers=40, number=3), servers=60)
+    while stage.arrive() in stage.sends:
+        pass
+    before = stage.balancer
+    whole = moved(before, 1)
+    assert (whole.limit, whole.flying) == (before.limit, before.flying)
+    after = moved(before, 1, work=False)
+    actions = after.handle(stage.now, [Beside(out_at(before)), Arrived(10**6, 0, stage.now + 900_000)])
+    assert not any(isinstance(a, Send) for a in actions)
+
+
 def test_a_full_server_is_full_for_both() -> None:
     stage = Stage(told_settings(route()), servers=1)
     limit = int(stage.balancer.limit)
