--- a/tests/membership/test_pacing.py
+++ b/tests/membership/test_pacing.py
@@ -7,10 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from quillroad.membership.pacing import BROKEN_S, FEW, MOST_S, RATE, Pacing
+from quillroad.membership.pacing import BROKEN_S, FEW, FIRST_S, MOST_S, RATE, Pacing
 
 
-@given(st.integers(FEW + 1, 120), st.integers(0, 2**32), st.floats(0.0, 2.0))
+@given(st.integers(1, 120), st.integers(0, 2**32), st.floats(0.0, 2.0))
 def test_a_fleet_that_lost_its_watches_at_once_asks_no_faster_than_one_service_answers(
     balancers: int, seed: int, took_s: float
 ) -> None:
@@ -20,21 +20,15 @@
         pacing = Pacing(balancers, number, random.Random(seed + number).random)
         at = 0.0
         for _ in range(4):
-            at += pacing.wait_s()
-            calls.append(at)
-            at += took_s
+            wait_s = pacing.wait_s()
+            assert 0.0 <= wait_s <= max(MOST_S, balancers / RATE)  # nobody waits longer than a round
+            calls.append(at + wait_s)
+            at += wait_s + took_s
     calls.sort()
     for window_s in (2.0, 8.0):
         most = max(sum(start <= t < start + window_s for t in calls) for start in calls[::7])
         # Where one's round ends another's next may begin: twice the rate for a moment.
-        assert most <= 2 * RATE * (window_s + 1)
-
-
-@given(st.integers(1, 400), st.integers(0, 399), st.integers(0, 2**32))
-def test_no_gateway_waits_longer_than_a_round(balancers: int, number: int, seed: int) -> None:
-    pacing = Pacing(balancers, number % balancers, random.Random(seed).random)
-    waits = [pacing.wait_s() for _ in range(10)]
-    assert min(waits) >= 0.0 and max(waits) <= max(MOST_S, balancers / RATE)
+        assert most <= (2 * RATE if balancers > FEW else balancers / FIRST_S) * (window_s + 1)
 
 
 def test_an_answer_that_broke_off_is_asked_for_again_soon_and_then_later() -> None:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -381,37 +381,41 @@
         assert out and not {s - 100 for s in out} & bad
         assert len(out) <= stage.balancer.width * stage.balancer.room or stage.balancer.window() is None
         together.update(out)
-    if balancers > balance.LIMIT:
-        most = max(servers * balance.SHARED + balancers, balancers * balance.FEWEST)
-        assert sum(together.values()) <= most
+    most = max(servers * balance.SHARED + balancers, balancers * balance.FEWEST)
+    assert balancers <= balance.LIMIT or sum(together.values()) <= most
 
 
 @given(st.integers(4, 48))
 def test_places_are_dealt_out_in_whole_ones_that_add_up(balancers: int) -> None:
     """Rounded up by every gateway they were 3.3 a host where 3 were meant."""
-    widths = []
-    for number in range(balancers):
-        balancer = Stage(settings(balancers=balancers, number=number), 2 * balancers).balancer
-        balancer.window()
-        widths.append(balancer.width)
+    told = [settings(balancers=balancers, number=number) for number in range(balancers)]
+    widths = [len(Stage(one, 2 * balancers).balancer.window() or ()) for one in told]
     assert abs(sum(widths) / (2 * balancers) - balance.SHARED) < 0.5
     assert max(widths) - min(widths) <= 1
 
 
-@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.ERROR, Outcome.RESET])
-def test_in_a_window_a_server_that_fails_at_once_rests_longer_each_time(outcome: Outcome) -> None:
-    """join+disco+huge: forty gateways each sent a dozen requests to every host that had gone."""
+QUICK = [Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.ERROR, Outcome.RESET]
+
+@pytest.mark.parametrize("outcome", [*QUICK, Outcome.TIMEOUT])
+def test_in_a_window_a_server_that_fails_rests_longer_each_time(outcome: Outcome) -> None:
+    """join+disco+huge: forty gateways each sent a dozen requests to every host that had gone. churn+huge, seed
+    31: hosts that hung took a place for 600 ms of every two seconds, at each gateway."""
     stage = Stage(many(balancers=40, number=3), fleet(6))
-    bad, sent = 100, []
-    for _ in range(400):
+    first_us = balance.REST_US if outcome in QUICK else balance.SILENT_US
+    sent: dict[int, int] = {}
+    for _ in range(1500):
         request = stage.arrive()
         for server in stage.sends.get(request, [])[:1]:
-            if server == bad:
-                sent.append(stage.now)
-            stage.done(request, outcome if server == bad else Outcome.SUCCESS, 20_000)
-        stage.pass_time(30_000)
-    first, *later = (b - a for a, b in pairwise(sent))
-    assert first >= balance.REST_US and min(later) >= 2 * balance.REST_US and len(sent) <= 8
+            if server == 100:
+                sent[request] = stage.now
+            if server != 100 or outcome in QUICK:
+                stage.done(request, outcome if server == 100 else Outcome.SUCCESS, 20_000)
+        stage.pass_time(20_000)
+        for old in set(sent) & set(stage.balancer.requests):
+            if stage.now > sent[old] + DEADLINE_US:
+                stage.done(old, Outcome.TIMEOUT, DEADLINE_US)
+    first, *later = (b - a for a, b in pairwise(sent.values()))
+    assert first >= first_us and min(later) >= 2 * first_us and len(sent) <= 8
 
 
 def test_in_a_window_hosts_that_err_do_not_make_it_refuse_a_share_unasked() -> None:
@@ -430,14 +434,12 @@
     """Large fleet: every gateway passed over what it took for bad, and 14 requests each were out where 5 may
     be."""
     stage = Stage(many(balancers=40, number=3), fleet())
-    width = 0
     for _ in range(60):
         stage.arrive()
-        width = max(width, stage.balancer.width)
         for s in stage.balancer.candidates:
             if s.in_flight:
                 s.ejected_until_us = stage.now + 10_000_000
-    assert len(stage.sends) == width < 12
+    assert len(stage.sends) == stage.balancer.width < 12
 
 
 def test_in_a_window_no_lane_is_kept_for_long_requests() -> None:
@@ -565,10 +567,8 @@
 
 def beside_cold(number: int, servers: tuple[Server, ...]) -> balance.Balancer:
     """One of forty balancers, as the cold ones among its servers start."""
-    told = settings(
-        route(), balancers=40, number=number, cold_us=10_000_000, cold_from=0.5, fall_multiple=3.0
-    )
-    balancer = balance.Balancer(told, number)
+    cold = {"cold_us": 10_000_000, "cold_from": 0.5, "fall_multiple": 3.0}
+    balancer = balance.Balancer(settings(balancers=40, number=number, **cold), number)
     balancer.routes[0].cost_us = 10_000.0
     balancer.handle(STARTED, [ServerList(ListKind.CACHED, servers)])
     return balancer
@@ -576,12 +576,11 @@
 
 def test_in_a_window_the_own_turn_at_a_cold_server_takes_all_its_places() -> None:
     """churn+huge, seed 5: 15 of 55 hosts were cold and had one request at a time while others jammed."""
-    most, servers = 0, (Server(7, started_us=STARTED), *(Server(100 + i) for i in range(59)))
-    for number in range(40):
-        balancer = beside_cold(number, servers)
+    servers = (Server(7, started_us=STARTED), *(Server(100 + i) for i in range(59)))
+    group = [beside_cold(number, servers) for number in range(40)]
+    for balancer in group:
         balancer.handle(STARTED, [Arrived(request, 0, STARTED + DEADLINE_US) for request in range(6)])
-        most = max(most, balancer.servers[7].in_flight)
-    assert most == int(balance.SHARED)
+    assert max(balancer.servers[7].in_flight for balancer in group) == int(balance.SHARED)
 
 
 def test_a_window_holds_no_cold_servers_while_others_are_warm() -> None:
@@ -592,26 +591,7 @@
         covered.update(s.spec.id for s in beside_cold(number, servers).window() or [])
     assert set(covered) == {s.id for s in servers if not s.started_us}
     assert max(covered.values()) <= 4  # and no warm one has more gateways than it bears
-    cold = tuple(s for s in servers if s.started_us)
-    assert len(beside_cold(3, cold).window() or []) >= balance.FEWEST
-
-
-def test_in_a_window_a_silent_server_rests_longer_each_time() -> None:
-    """churn+huge, seed 31: hosts that hung took a place for 600 ms of every two seconds, at each gateway."""
-    stage = Stage(many(balancers=40, number=3), fleet(6))
-    silent, sent = 100, []
-    for _ in range(1500):
-        request = stage.arrive()
-        for server in stage.sends.get(request, [])[:1]:
-            if server == silent:
-                sent.append(stage.now)
-            else:
-                stage.done(request, Outcome.SUCCESS, 20_000)
-        stage.pass_time(20_000)
-        for other in list(stage.balancer.requests):
-            if len(stage.sends.get(other, ())) == 1 and stage.now > sent[-1] + DEADLINE_US:
-                stage.done(other, Outcome.TIMEOUT, DEADLINE_US)
-    assert 2 <= len(sent) <= 6  # of 30 s
+    assert len(beside_cold(3, servers[::3]).window() or []) >= balance.FEWEST  # where none is warm
 
 
 def test_a_dead_zone_is_not_panicked_into() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -171,9 +171,7 @@
         assert w.hosts[0].closed.empty()  # its connection stands too
 
 
-@pytest.mark.parametrize(
-    "rest", ['{"instanceId":"s-9","hostPo', '{"instanceId":"s-9"}]}\n', '\x00,,]}\n', ""]
-)
+@pytest.mark.parametrize("rest", ['{"instanceId":"s-9","host', '{"instanceId":"s-9"}]}\n', "\0,,]}\n", ""])
 @on_loop
 async def test_what_a_broken_line_says_is_leaving_gets_nothing_new(rest: str) -> None:
     """join+disco+huge: a list broke off after the entry of a host that drained, and a request went there
@@ -206,9 +204,7 @@
 
 
 @given(st.binary(max_size=200), STATES, st.integers(0))
-def test_of_a_line_broken_anywhere_only_whole_entries_count(
-    noise: bytes, states: list[str], cut: int
-) -> None:
+def test_of_a_broken_line_only_whole_entries_count(noise: bytes, states: list[str], cut: int) -> None:
     entries = [{"instanceId": f"s-{i}", "lifecycle": state} for i, state in enumerate(states)]
     line = json.dumps({"generation": 1, "instances": entries}).encode()
     told = [f"s-{i}" for i, state in enumerate(states) if state != "up"]
