--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -398,8 +398,8 @@
 
 @pytest.mark.parametrize("outcome", [*QUICK, Outcome.TIMEOUT])
 def test_in_a_window_a_server_that_fails_rests_longer_each_time(outcome: Outcome) -> None:
-    """join+disco+huge: forty gateways each sent a dozen requests to every host that had gone. churn+huge, seed
-    31: hosts that hung took a place for 600 ms of every two seconds, at each gateway."""
+    """join+disco+huge: forty gateways each sent a dozen requests to every host that had gone. churn+huge:
+    hosts that hung took a place for 600 ms of every two seconds, at each gateway."""
     stage = Stage(many(balancers=40, number=3), fleet(6))
     first_us = balance.REST_US if outcome in QUICK else balance.SILENT_US
     sent: dict[int, int] = {}
