Large fleet: a crowd by the share, by what is still worked on, and by the pace of the queue

Causes in pinetrack/balance.py: places() gave every balancer one place at least, 182 on 48 hosts where 2.5 each were meant, and the share counted repeats of refused clients as own traffic; overdue and given-up attempts held no place; enqueue() held all that came. Ruled out: cold hosts (their sends, now counted as to_cold, were answered, 10 failures a second at 71 of them). Change: the floor is the own share, under one place with pauses; in a crowd (nerve under a half) what is overdue or was given up early keeps its place while its host answers others; answers of cold hosts say nothing of the crowd; in shared windows what would wait past its time by the pace of the queue is refused at once.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -45,7 +45,10 @@
 MEMORY = 0.25  # part of the told ask-within time that a record lasts: fresh records against wide windows
 FEWEST = 3  # servers in the smallest window: one bad server must leave a choice
 SLOW = 2.5  # an answer that took so many times the uncrowded latency tells of a crowd: calm against notice
-LESS, MORE = 0.3, 0.1  # places given up by a slow answer and won by a quick one: three quick ones outweigh it
+LESS, MORE = 0.1, 0.033  # part of the window given up by a slow answer and won by a quick one: 3 outweigh it
+LEAST = 0.25  # place of a balancer at the worst: noticing that servers are back against waiting for them
+CROWDED = 0.5  # under this nerve servers are taken to be full of what others sent
+PACE = 0.3  # weight of the newest in the time between two sends from the queue
 FULL_IN_ROW = 3  # doublings of the pause after servers that are full: a try costs them work, too
 
 
@@ -122,7 +125,7 @@
     def __init__(self, server: ServerState, sent_us: int) -> None:
         self.server, self.sent_us = server, sent_us
         self.outcome: Outcome | None = None
-        self.alone, self.late, self.full = not server.in_flight, False, False
+        self.alone, self.late, self.lost, self.full = not server.in_flight, False, False, False
 
 
 class Request:
@@ -136,7 +139,8 @@
             aim_us = route.spec.aim_us + int(route.spec.aim_stretch * self.cost_us)
             self.useful_us = min(self.useful_us, now_us + aim_us)
         self.attempts: list[Attempt] = []
-        self.out, self.groups, self.closed, self.long = 0, 0, False, event.long
+        self.out, self.groups, self.long = 0, 0, event.long
+        self.closed = self.left = False  # has its final answer, or needs none; its client has gone
 
     def may_have_run(self) -> list[Attempt]:
         return [a for a in self.attempts if a.outcome not in NEVER_RAN]
@@ -187,8 +191,9 @@
         self.warms = True  # the turns at cold servers are ours
         self.room = max(1.0, self.limit)  # own places at each server drawn from
         self.width = 0  # servers in the window at the last pick
-        self.share = 0  # own attempts out at once that are ours for certain, at the last pick
-        self.allowed = float(FEWEST)  # those that answers allow for
+        self.share = 0.0  # own part of the places at all servers of the window
+        self.nerve = 1.0  # part of the window's width that answers allow to be out
+        self.placed_us, self.gap_us = 0, 0.0  # the last send from the queue; time between two, smoothed
         self.full_in_row, self.paused_until_us = 0, 0  # servers that turned us away since the last answer
         self.flying = self.beside = 0  # attempts out and not overdue: own, of this gateway's other process
         self.tally: dict[str, int] = {}  # what was refused, and why; copies and ejections
@@ -294,11 +299,32 @@
         """Hold a request in the gateway. Rule 1: its alarm ends it once it can no longer meet its aim."""
         if self.out_of_reach(request):
             return self.finish(request, "refused_crossing")
+        due_us = request.useful_us - (request.route.latency.percentile(0.5) or request.cost_us)
+        if not self.queued:
+            self.placed_us, self.gap_us = self.now, 0.0
+        # Only where windows are shared: with all servers in view the limit follows what waits here.
+        if self.limit < 1.0 and self.now + self.wait_us(request) > due_us:
+            return self.finish(request, "refused_wait")
         request.route.queues[request.over].append(request)
         self.queued += 1
-        due_us = request.useful_us - (request.route.latency.percentile(0.5) or request.cost_us)
         self.alarm(due_us - self.now, self.shed, request)
 
+    def wait_us(self, request: Request) -> float:
+        """How long one that joins the queue now will wait, by what is ahead of it and the pace at which what
+        waited has been sent. Guards against holding for half a second what can't be served then, and others
+        behind it. A guess would not do: with nothing learned it refused what could be served."""
+        rank = self.rank(request.route, request.over)
+        ahead = sum(
+            len(queue) for route in self.routes for over, queue in enumerate(route.queues)
+            if queue and self.rank(route, bool(over)) <= rank
+        )
+        return max(self.paused_until_us - self.now, (ahead + 1) * self.gap_us)
+
+    def rank(self, route: RouteState, over: bool) -> float:
+        """The order in which what waits is sent: worth for cost first; over-quota tenants, marked repeats
+        last."""
+        return (-self.settings.over_quota_worth if over else -1.0) * route.spec.worth / route.cost_us
+
     def out_of_reach(self, request: Request) -> bool:
         """Whether nobody at home is well, and no crossing comes free in its time: given up at once."""
         if not request.route.denied or (crossing := self.crossing) is None or not crossing.all_lost:
@@ -310,13 +336,15 @@
             self.finish(request, "refused_queued")
 
     def drain(self) -> None:
-        """Send what waits as room allows: worth for cost first; over-quota tenants, marked repeats last."""
-        less = (-1.0, -self.settings.over_quota_worth)
-        parts = [(less[i] * r.spec.worth / r.cost_us, q) for r in self.routes for i, q in enumerate(r.queues)]
+        """Send what waits as room allows."""
+        parts = [(self.rank(r, bool(i)), q) for r in self.routes for i, q in enumerate(r.queues)]
         for _, queue in sorted(parts, key=lambda part: part[0]):
             while queue:
-                if not queue[0].closed and not self.place(queue[0]):
-                    break
+                if not queue[0].closed:
+                    if not self.place(queue[0]):
+                        break
+                    self.gap_us += (self.now - self.placed_us - self.gap_us) * PACE
+                    self.placed_us = self.now
                 queue.popleft()
                 self.queued -= 1
 
@@ -339,6 +367,7 @@
 
     def on_departed(self, event: Departed) -> None:
         if (request := self.requests.get(event.request)) is not None:
+            request.left = True
             self.close(request)
 
     def place(self, request: Request) -> bool:
@@ -426,7 +455,9 @@
                 return s
         near = self.window()
         # Guards against a window that passes over servers in trouble and so fills one after another.
-        if near and (self.now < self.paused_until_us or self.flying + self.beside >= self.places()):
+        if near and self.now < self.paused_until_us:
+            return None
+        if near and self.flying + self.beside + 1 > max(1.0, self.places()):
             return None
         # In a window no lanes: only a full view tells their share of the work
         lane, part = (self.candidates, 1.0) if near else (self.lane(request.route), LOCAL)
@@ -462,8 +493,9 @@
         places = max(n * self.limit, filled)
         self.room = max(1.0, places / max(1, n))
         # Whole places, dealt out by number: all rounded up they were a tenth more than servers bear.
-        self.share = int(places + told.number * GOLDEN % 1.0)
-        self.width = width = min(n, max(FEWEST, self.share))
+        part = told.number * GOLDEN % 1.0
+        self.width = width = min(n, max(FEWEST, int(places + part)))
+        self.share = n * self.limit if n * self.limit < 1.0 else float(int(n * self.limit + part))
         if width >= n:
             return None
         ring = (warm * 2)[n * told.number // told.balancers :][:n]
@@ -475,16 +507,24 @@
         local = [s for s in ring if s.spec.zone == told.zone][:most]
         return local + [s for s in ring if s not in local][: width - len(local)]
 
-    def places(self) -> int:
-        """Own attempts out at once, where others share the window: our share, and up to the window's width
-        while answers come quickly. Guards against a choice of servers that is taken for as many places: 200
-        balancers with three each held 9 requests at each server that bore 3, once a zone was lost."""
-        return max(1, self.share, min(self.width, int(self.allowed)))
+    def places(self) -> float:
+        """Own attempts out at once, where others share the window: its width while answers come quickly, in
+        a crowd no more than the own share; under one means pauses in between. Guards against a choice of
+        servers taken for as many places: 200 balancers with three each held 9 requests at each server that
+        bore 3, once a zone was lost."""
+        return max(LEAST, self.share, self.nerve * self.width)
+
+    def crowded(self) -> bool:
+        return self.limit < 1.0 and self.nerve < CROWDED
 
     def sense(self, crowded: bool) -> None:
         """What an answer tells of the crowd that others make: less at once, more by and by."""
-        step = -LESS if crowded else MORE
-        self.allowed = min(float(FEWEST), max(1.0, self.allowed + step))
+        self.nerve = max(0.0, self.nerve - LESS) if crowded else min(1.0, self.nerve + MORE)
+
+    def pause(self, wait_us: float) -> None:
+        """Send nothing for a while; what waits goes on with the event that ends it."""
+        self.paused_until_us = max(self.paused_until_us, self.now + int(wait_us))
+        self.alarm(wait_us, self.go_on)
 
     def turned_away(self) -> None:
         """A server in the window was full. One may be alone in that; where one after another is, the fleet
@@ -494,9 +534,7 @@
         self.full_in_row += 1
         if self.full_in_row > 1:
             doubled = 2.0 ** min(self.full_in_row - 2, FULL_IN_ROW)
-            wait_us = int(min(self.mean_cost_us, self.guess_us) * doubled * (0.5 + self.random.random()))
-            self.paused_until_us = max(self.paused_until_us, self.now + wait_us)
-            self.alarm(wait_us, self.go_on)
+            self.pause(min(self.mean_cost_us, self.guess_us) * doubled * (0.5 + self.random.random()))
 
     def go_on(self, _: object) -> None:
         """A pause is over: what waits goes on with this event."""
@@ -606,9 +644,13 @@
         """What an outcome says of its server, its kind and its route."""
         s, outcome, route = attempt.server, event.outcome, request.route
         s.overdue, s.in_flight = s.overdue - attempt.late, s.in_flight - 1
-        self.flying -= not attempt.late
+        if not attempt.lost and (self.limit >= 1.0 or not self.haunts(request, attempt, outcome)):
+            self.flying -= 1
         if outcome is Outcome.CANCELLED or outcome is Outcome.MOOT:
             return
+        shared = self.limit < 1.0 and not self.is_cold(s)  # in a turn at a cold server nobody else sends
+        if shared and outcome is not Outcome.FULL and (places := self.places()) < 1.0:
+            self.pause(event.elapsed_us * (1.0 / places - 1.0))
         if request.long and outcome is Outcome.TIMEOUT:
             return
         if outcome is Outcome.SUCCESS:
@@ -616,7 +658,8 @@
             self.full_in_row = 0
             if request.long:
                 return  # guards against slow reading passing for crowding, and for the route's latency
-            self.sense(event.elapsed_us > SLOW * route.cost_us)
+            if shared:
+                self.sense(event.elapsed_us > SLOW * route.cost_us)
             pace = math.log2(max(event.elapsed_us / route.cost_us, 0.01))
             self.pace[s.spec.kind] += (pace - self.pace[s.spec.kind]) * SMOOTH
             route.samples += 1
@@ -633,12 +676,28 @@
                 return self.credit(s, float(event.elapsed_us <= aim_us), route.spec.aim_us is not None)
         if self.limit < 1.0 and outcome is not Outcome.TIMEOUT:
             self.rest(s, REST_US)
-            if outcome is Outcome.FULL:
+            if outcome is Outcome.FULL and shared:
                 self.turned_away()
         if not attempt.late:
             # Where nobody listens there is no jam: it says that this server is gone, not to admit less.
             self.blame(s, outcome is not Outcome.CONNECT_FAILED)
 
+    def haunts(self, request: Request, attempt: Attempt, outcome: Outcome) -> bool:
+        """Whether what its client gave up early keeps its place for a while: servers work on, for all that
+        they are told. Guards against a crowd that nobody sees: clients in a hurry left 12 requests at each
+        server beside the 3 that balancers knew of."""
+        given_up = outcome is Outcome.TIMEOUT or (outcome is Outcome.CANCELLED and request.left)
+        if not self.crowded() or not given_up or attempt.server.silent():
+            return False
+        usual_us = request.route.latency.percentile(HEDGE_AT) or request.route.cost_us
+        left_us = attempt.sent_us + usual_us - self.now
+        if left_us > 0:
+            self.alarm(left_us, self.laid)
+        return left_us > 0
+
+    def laid(self, _: object) -> None:
+        self.flying -= 1
+
     def count_overdue(self) -> None:
         """An attempt out past its aim counts zero at once; guards against servers that go silent."""
         for route in self.routes:
@@ -646,9 +705,13 @@
                 attempt = route.due.popleft()[1]
                 if attempt.outcome is None:
                     attempt.late = True
-                    self.flying -= 1
                     attempt.server.overdue += 1
                     attempt.server.missed_us = max(attempt.server.missed_us, attempt.sent_us)
+                    # In a crowd it is still being worked on, where others are answered, and keeps its place.
+                    attempt.lost = not self.crowded() or attempt.server.silent()
+                    self.flying -= attempt.lost
+                    if not attempt.lost and not self.is_cold(attempt.server):
+                        self.sense(True)
                     if self.limit < 1.0 and attempt.server.silent():
                         self.rest(attempt.server, SILENT_US)
                     self.blame(attempt.server)
--- a/quillroad/counts.py
+++ b/quillroad/counts.py
@@ -48,6 +48,8 @@
 
     def _sent(self, route: int, host: Host, size: int, done: Done) -> Done:
         self._now["sent"] += 1
+        if host.started_us and self._engine.now_us() < host.started_us + self._engine.cold_us:
+            self._now["to_cold"] += 1
         if self._next is not None:
             done = self._next(route, host, size, done)
         return partial(self._ended, host, monotonic(), done)
--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -125,6 +125,11 @@
         """Requests that wait for their answer."""
         return len(self._ids)
 
+    @property
+    def cold_us(self) -> int:
+        """For so long after its start a host may be cold, in microseconds."""
+        return self._balancer.settings.cold_us
+
     @property
     def queued(self) -> int:
         """Requests that wait in the module for a place at a host."""
