--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,8 +2,8 @@
 
 FOLDER holds one log a gateway, written with QUILLROAD_COUNTS=1 (see `quillroad/counts.py`); a line may
 begin with the time that who ran them gives it. Rates are sums over all gateways; what stands (admitted,
-width, limit) is the mean, with `up` the gateways that spoke in that second. Two folders laid side by side
-show what a change did.
+width, limit, nerve) is the mean, with `up` the gateways that spoke in that second. Two folders laid side by
+side show what a change did.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from rich.console import Console
 from rich.table import Table
 
-MEANS = ("admitted", "width", "limit", "pace", "ejected", "cold", "hosts")
+MEANS = ("admitted", "width", "limit", "nerve", "pace", "ejected", "cold", "hosts")
 Row = dict[str, float]
 
 
--- a/quillroad/engine.py
+++ b/quillroad/engine.py
@@ -147,6 +147,7 @@
         return {
             "open": len(self._open), "queued": module.queued, "admitted": round(module.admitted, 3),
             "width": module.width or len(module.candidates), "limit": round(module.limit, 2),
+            "nerve": round(module.nerve, 2),
             "pace": round(module.recent, 1),
             "ejected": sum(not s.well(self._latest_us) for s in module.candidates),
             "cold": len(module.cold), "hosts": len(module.candidates),
