A crowd takes from own traffic's places only where shares are under one place

Cause: the floor in a crowd left out what own traffic fills, so gateways with several times the mean fell to the mean's share; and what was overdue held a place at hosts in trouble while others were idle.

--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -302,8 +302,8 @@
         due_us = request.useful_us - (request.route.latency.percentile(0.5) or request.cost_us)
         if not self.queued:
             self.placed_us, self.gap_us = self.now, 0.0
-        # Only where windows are shared: with all servers in view the limit follows what waits here.
-        if self.limit < 1.0 and self.now + self.wait_us(request) > due_us:
+        # Only where shares are under one place: elsewhere the limit or the window follows what waits here.
+        if self.limit < 1.0 and self.share < 1.0 and self.now + self.wait_us(request) > due_us:
             return self.finish(request, "refused_wait")
         request.route.queues[request.over].append(request)
         self.queued += 1
@@ -495,7 +495,8 @@
         # Whole places, dealt out by number: all rounded up they were a tenth more than servers bear.
         part = told.number * GOLDEN % 1.0
         self.width = width = min(n, max(FEWEST, int(places + part)))
-        self.share = n * self.limit if n * self.limit < 1.0 else float(int(n * self.limit + part))
+        # Under one place each, others are there for certain, however busy this one is with what comes again.
+        self.share = n * self.limit if n * self.limit < 1.0 else float(int(places + part))
         if width >= n:
             return None
         ring = (warm * 2)[n * told.number // told.balancers :][:n]
@@ -515,7 +516,7 @@
         return max(LEAST, self.share, self.nerve * self.width)
 
     def crowded(self) -> bool:
-        return self.limit < 1.0 and self.nerve < CROWDED
+        return self.limit < 1.0 and self.share < 1.0 and self.nerve < CROWDED
 
     def sense(self, crowded: bool) -> None:
         """What an answer tells of the crowd that others make: less at once, more by and by."""
