--- a/rig/hosts.py
+++ b/rig/hosts.py
@@ -173,7 +173,7 @@
         super().__init__(hosts)
         self._work_s, self._patience_s = work_s, patience_s
         self._busy = asyncio.Lock()  # its waiters take turns in the order of their coming
-        self.answered = self.turned_away = 0
+        self.turned_away = 0
 
     async def _turn(self, writer: asyncio.StreamWriter) -> bool:
         try:
@@ -187,5 +187,4 @@
             await asyncio.sleep(self._work_s)
         finally:
             self._busy.release()
-        self.answered += 1
         return True
