A long answer's host is read again when its last bytes filled the client's side

Ruled out: the host (its answer was written), the module (one Send, no Cancel), the list (unchanged). Lines at fault: HostConnection._more hands the last bytes over, whoever takes them may pause the reading, and _end_rest then releases the connection paused; Rest.resume does nothing after end(). Change: _end_rest lets the reading go on before the connection is kept.

--- a/quillroad/upstream.py
+++ b/quillroad/upstream.py
@@ -362,6 +362,8 @@
     def _end_rest(self, whole: bool) -> None:
         rest, self._rest = self._rest, None
         self.upstream.rests.discard(self)
+        if rest is not None and not self.closing():
+            rest.resume()  # its last bytes filled the client's side: the next answer here would go unread
         self._done_with(whole)
         if rest is not None:
             rest.end(whole)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -20,6 +20,7 @@
 from quillroad.arrivals.age import unacknowledged
 from quillroad.config import SHORT_BODY
 from quillroad.server import UNREAD_S
+from quillroad.upstream import SETTLE_S
 from tests.net import BOUND_S, Client, Message, World, hang, on_loop, reset, serve_ok, until, world
 
 OPS = {"admin_addr": "127.0.0.1:0"}  # what allows long bodies
@@ -100,6 +101,40 @@
         assert (got.status, got.body) == (200, b"ok")
 
 
+@on_loop
+async def test_a_host_whose_last_bytes_filled_the_clients_side_is_read_again() -> None:
+    last = asyncio.Event()
+
+    async def behave(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(by_length(BODY)[0] + BODY[:-1])
+        await last.wait()
+        writer.write(BODY[-1:])
+
+    async with world(behave, **OPS) as w, w.client() as client:
+        client.send()
+        await client.reader.readuntil(b"\r\n\r\n")
+        assert await client.reader.readexactly(SIZE - 1) == BODY[:-1]
+        (connection,) = w.gateway.server.room.connections()
+        rest = connection._rest
+        assert rest is not None and rest.on_data is not None
+        take = rest.on_data
+
+        def full(data: bytes) -> None:
+            rest.pause()
+            take(data)
+
+        rest.on_data = full
+        last.set()
+        assert await client.reader.readexactly(1) == BODY[-1:]
+        await until(lambda: at_base(w))
+        w.hosts[0].behave = serve_ok
+        at_rest = monotonic()
+        await until(lambda: monotonic() > at_rest + SETTLE_S)
+        async with asyncio.timeout(UNREAD_S):
+            assert (await client.ask()).status == 200
+        assert len(w.hosts[0].writers) == 1  # by the same connection
+
+
 def breaks(pieces: list[bytes]) -> Any:
     async def behave(message: Message, writer: asyncio.StreamWriter) -> None:
         for piece in pieces:
