Fleet view: a core free of I/O (SWIM, Lifeguard) and a virtual network that runs it

Change: quillroad/fleet, datagrams and time in, datagrams and changes out: claims that join in any order, suspicions told by three bits of who saw them, tables of half a byte a member where much happens at once, a bound on bytes in any second, a gateway's judgement of itself. lab/net and lab/fleet: a seeded network and clock. Nothing imports it yet.

--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: many cores on one simulated clock and network, the same run for the same seed."""
--- /dev/null
+++ b/lab/fleet.py
@@ -0,0 +1,161 @@
+"""A fleet of gateways' cores in the virtual network: started, stopped, killed, cut apart, and compared."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from lab.net import World
+from quillroad.fleet.claims import Standing
+from quillroad.fleet.core import Core
+from quillroad.fleet.roster import Address, Roster
+from quillroad.fleet.timing import Timing
+from quillroad.fleet.view import Change
+
+BUFFERED = 200  # datagrams that a stopped process's socket holds: the kernel drops what comes then
+
+
+def address(number: int) -> Address:
+    return (f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}", 7946)
+
+
+class Member:
+    """One process: its core, while it runs, and what the kernel holds for it."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self.fleet, self.number = fleet, number
+        self.core: Core | None = None
+        self.stopped = False
+        self.lag: Callable[[], float] = lambda: 0.0  # seconds by which each of its steps comes late
+        self.inbox: deque[tuple[Address, bytes]] = deque(maxlen=BUFFERED)
+        self.bytes = self.datagrams = 0
+        self.peak_bytes = 0  # most that went out in any second of the clock's
+        self._second = (0, 0)
+        self.history: list[Change] = []
+        self._woken = 0
+
+    @property
+    def running(self) -> bool:
+        return self.core is not None and not self.stopped
+
+    def start(self, roster: Roster | None = None) -> None:
+        world = self.fleet.world
+        self.core = Core(
+            roster or Roster(self.fleet.addresses, self.number), self.fleet.timing, world.now,
+            world.random.random, world.random.getrandbits(32),
+        )
+        self.inbox.clear()
+        self.stopped = False
+        self._arm()
+
+    def kill(self) -> None:
+        self.core = None
+        self.inbox.clear()
+
+    def stop(self) -> None:
+        """SIGSTOP."""
+        self.stopped = True
+
+    def go_on(self) -> None:
+        """SIGCONT: what the kernel holds is read before any timer runs."""
+        self.stopped = False
+        self._read()
+        self._tick(self._woken)
+
+    def deliver(self, source: Address, data: bytes) -> None:
+        if self.core is None:
+            return
+        self.inbox.append((source, data))
+        if not self.stopped:
+            late = self.lag()
+            if late:
+                self.fleet.world.at(self.fleet.world.now + late, self._read)
+            else:
+                self._read()
+
+    def _read(self) -> None:
+        core = self.core
+        if core is None or self.stopped:
+            return
+        while self.inbox:
+            core.receive(*self.inbox.popleft(), self.fleet.world.now)
+        self._flush(core)
+        self._arm()
+
+    def _tick(self, woken: int) -> None:
+        core = self.core
+        if core is None or self.stopped or woken != self._woken:
+            return
+        core.tick(self.fleet.world.now)
+        self._flush(core)
+        self._arm()
+
+    def _arm(self) -> None:
+        assert self.core is not None
+        self._woken += 1
+        woken = self._woken
+        self.fleet.world.at(self.core.arm() + self.lag(), lambda: self._tick(woken))
+
+    def _flush(self, core: Core) -> None:
+        sent, core.outbox = core.outbox, []
+        for number, data in sent:
+            self.bytes += len(data)
+            self.datagrams += 1
+            second = int(self.fleet.world.now)
+            self._second = (second, len(data) + (self._second[1] if self._second[0] == second else 0))
+            self.peak_bytes = max(self.peak_bytes, self._second[1])
+            self.fleet.carry(self.number, number, data)
+        self.history += core.changes
+        core.changes = []
+
+
+class Fleet:
+    """`size` members, none of them started."""
+
+    def __init__(self, world: World, size: int, timing: Timing | None = None) -> None:
+        self.world, self.timing = world, timing or Timing()
+        self.addresses = [address(n) for n in range(size)]
+        self.members = [Member(self, n) for n in range(size)]
+        self.twins: dict[int, Member] = {}  # second processes under a number: either may get what comes
+
+    def start(self, numbers: Iterable[int] | None = None, within_s: float = 0.0) -> None:
+        for n in range(len(self.members)) if numbers is None else numbers:
+            self.world.at(self.world.now + within_s * self.world.random.random(), self.members[n].start)
+
+    def carry(self, source: int, target: int, data: bytes) -> None:
+        if target < len(self.members):
+            to = self.members[target]
+            if target in self.twins and self.world.random.random() < 0.5:
+                to = self.twins[target]
+            self.world.send(source, target, data, lambda: to.deliver(self.addresses[source], data))
+
+    def running(self) -> list[Member]:
+        return [member for member in self.members if member.running]
+
+    def agreed(self, among: Iterable[int] | None = None, there: Iterable[int] | None = None) -> bool:
+        """Whether each of `among`, the running ones as a rule, holds exactly `there`, as a rule these as
+        well, for there: alive, and everyone else in the roster gone, left or never heard of."""
+        numbers = [m.number for m in self.running()] if among is None else list(among)
+        if not numbers:
+            return False
+        expected = set(numbers) if there is None else set(there)
+        for n in numbers:
+            core = self.members[n].core
+            if core is None:
+                return False
+            alive = len(expected) - (n in expected)
+            view = core.view
+            if view.count(Standing.ALIVE) != alive or view.count(Standing.SUSPECT):
+                return False
+            if any(view.members[m].standing is not Standing.ALIVE for m in expected if m != n):
+                return False
+        return True
+
+    def until(self, condition: Callable[[], bool], most_s: float, step_s: float = 0.1) -> float | None:
+        """Seconds until something holds, looked at every `step_s`; None: not within `most_s`."""
+        began = self.world.now
+        while not condition():
+            if self.world.now - began >= most_s:
+                return None
+            self.world.run(self.world.now + step_s)
+        return self.world.now - began
--- /dev/null
+++ b/quillroad/fleet/roster.py
@@ -0,0 +1,27 @@
+"""Which gateways there may be, and where each is heard from. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+Address = tuple[str, int]
+
+
+class Roster:
+    """Members by number, this gateway's own among them. Raises `ValueError` where the own number is not one
+    of them or an address is there twice."""
+
+    def __init__(self, addresses: Sequence[Address], number: int) -> None:
+        if not 0 <= number < len(addresses):
+            raise ValueError(f"number {number} of {len(addresses)}")
+        self.addresses, self.number = tuple(addresses), number
+        self._numbers = {address: i for i, address in enumerate(self.addresses)}
+        if len(self._numbers) < len(self.addresses):
+            raise ValueError("an address is there twice")
+
+    def __len__(self) -> int:
+        return len(self.addresses)
+
+    def number_of(self, address: Address) -> int | None:
+        """Whose address this is; None: nobody's."""
+        return self._numbers.get(address)
--- /dev/null
+++ b/tests/fleet/test_core.py
@@ -0,0 +1,250 @@
+"""Cores in the virtual network: each hard case by its own schedule, the same run for the same seed."""
+
+from __future__ import annotations
+
+import pytest
+
+from lab.fleet import Fleet, Member
+from lab.net import Link, World
+from quillroad.fleet.claims import Standing
+from quillroad.fleet.condition import Self
+from quillroad.fleet.core import Core
+from quillroad.fleet.roster import Roster
+from quillroad.fleet.wire import VERSION, Datagram, Kind, News, encode
+
+SEEDS = (1, 2, 3)
+
+
+def settled(size: int, seed: int, loss: float = 0.0) -> Fleet:
+    fleet = Fleet(World(seed, Link(loss=loss)), size)
+    fleet.start(within_s=1.0)
+    assert fleet.until(fleet.agreed, 20.0) is not None
+    fleet.world.run(fleet.world.now + 3.0)
+    return fleet
+
+
+def core(fleet: Fleet, number: int) -> Core:
+    found = fleet.members[number].core
+    assert found is not None
+    return found
+
+
+def ends(fleet: Fleet, since: float = 0.0) -> list[tuple[int, int]]:
+    """Who held whom for gone."""
+    return [
+        (m.number, c.number) for m in fleet.members for c in m.history if c.what == "gone" and c.at >= since
+    ]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("size", [3, 12, 40])
+def test_a_crash_and_a_restart_are_seen_by_all(size: int, seed: int) -> None:
+    fleet = settled(size, seed, loss=0.05)
+    fleet.members[1].kill()
+    assert fleet.until(fleet.agreed, 10.0) is not None
+    fleet.world.run(fleet.world.now + 2.0)
+    fleet.members[1].start()  # from nothing: it begins with incarnation 1 again
+    assert fleet.until(fleet.agreed, 10.0) is not None
+    assert core(fleet, 1).incarnation > 1  # refuted what was said of the old one
+
+
+def test_the_same_seed_gives_the_same_trace() -> None:
+    first, again, other = settled(12, 7, 0.1), settled(12, 7, 0.1), settled(12, 8, 0.1)
+    assert first.world.trace == again.world.trace != other.world.trace
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_both_sides_of_a_partition_find_each_other_again_and_the_sound_stay_there(seed: int) -> None:
+    fleet = settled(12, seed)
+    one, other = set(range(5)), set(range(5, 12))
+    fleet.world.cut(one, other)
+    fleet.world.cut(other, one)
+    assert fleet.until(lambda: fleet.agreed(one, one) and fleet.agreed(other, other), 20.0) is not None
+    since = fleet.world.now
+    fleet.world.cut(one, other, on=False)
+    fleet.world.cut(other, one, on=False)
+    assert fleet.until(fleet.agreed, 20.0) is not None
+    # The other side's word that one of the own side is gone, though it came first, ended nobody.
+    assert not [(a, b) for a, b in ends(fleet, since) if (a in one) == (b in one)]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_that_was_stopped_blames_nobody_when_it_wakes(seed: int) -> None:
+    fleet = settled(12, seed)
+    fleet.members[4].stop()
+    fleet.world.run(fleet.world.now + 10.0)
+    fleet.members[4].go_on()
+    since = fleet.world.now
+    assert fleet.until(fleet.agreed, 10.0) is not None
+    assert not ends(fleet, since)
+    assert not [c for c in fleet.members[4].history if c.what in ("suspect", "gone") and c.number != 4]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_slow_one_makes_no_sound_one_gone(seed: int) -> None:
+    fleet = settled(12, seed)
+    random = fleet.world.random
+    fleet.members[4].lag = lambda: random.random() * 0.6  # each of its steps, and each datagram
+    fleet.world.run(fleet.world.now + 60.0)
+    assert not [(a, b) for a, b in ends(fleet) if b != 4]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_who_hears_nobody_says_alone_and_calls_nobody_gone(seed: int) -> None:
+    fleet = settled(12, seed)
+    others = set(range(12)) - {3}
+    fleet.world.cut(others, {3})
+    fleet.world.run(fleet.world.now + 15.0)
+    assert core(fleet, 3).view.self_state is Self.ALONE
+    assert not [b for a, b in ends(fleet) if a == 3]
+    assert fleet.agreed(others, others)  # it can send, and not hear: to the others it is gone
+    fleet.world.cut(others, {3}, on=False)
+    assert fleet.until(fleet.agreed, 15.0) is not None
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_who_is_heard_by_nobody_calls_nobody_gone(seed: int) -> None:
+    fleet = settled(12, seed)
+    others = set(range(12)) - {3}
+    fleet.world.cut({3}, others)
+    fleet.world.run(fleet.world.now + 15.0)
+    assert not [b for a, b in ends(fleet) if a == 3]
+    assert fleet.agreed(others, others)
+    fleet.world.cut({3}, others, on=False)
+    assert fleet.until(fleet.agreed, 15.0) is not None
+
+
+def test_a_pair_that_is_cut_apart_goes_by_what_others_hear() -> None:
+    fleet = settled(12, 1)
+    fleet.world.cut({3}, {7})
+    fleet.world.cut({7}, {3})
+    fleet.world.run(fleet.world.now + 30.0)
+    assert fleet.agreed() and not ends(fleet)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_seven_in_ten_at_once_and_thirty_percent_loss(seed: int) -> None:
+    fleet = settled(12, seed)
+    for member in fleet.members[:8]:
+        member.kill()
+    assert fleet.until(fleet.agreed, 15.0) is not None
+    fleet = settled(12, seed, loss=0.3)
+    fleet.world.run(fleet.world.now + 60.0)
+    assert fleet.until(fleet.agreed, 10.0) is not None
+    assert not ends(fleet)
+
+
+def test_all_that_is_held_returns_to_base() -> None:
+    fleet = settled(12, 5, loss=0.2)
+    for number in (1, 2, 3):
+        fleet.members[number].kill()
+    fleet.world.run(fleet.world.now + 30.0)
+    fleet.world.every.loss = 0.0
+    fleet.world.run(fleet.world.now + 10.0)
+    for member in fleet.running():
+        assert core(fleet, member.number).held <= 1  # a probe on its way
+        assert member.peak_bytes <= 2 * fleet.timing.most_bytes  # of the clock's seconds; budget: of any
+
+
+def test_one_that_leaves_is_not_missed() -> None:
+    fleet = settled(12, 1)
+    leaving = core(fleet, 3)
+    leaving.leave(fleet.world.now)
+    fleet.members[3]._flush(leaving)
+    fleet.members[3].kill()
+    assert fleet.until(fleet.agreed, 5.0) is not None
+    assert core(fleet, 0).view.members[3].standing is Standing.LEFT and not ends(fleet)
+
+
+def alone() -> tuple[Core, Fleet]:
+    fleet = settled(3, 1)
+    return core(fleet, 0), fleet
+
+
+def datagram(number: int, *news: News, kind: Kind = Kind.GOSSIP, version: int = VERSION) -> bytes:
+    return encode(Datagram(version, number, 1, 1, kind, 0, 0, news))
+
+
+def test_what_is_wrong_is_counted_by_its_reason() -> None:
+    one, fleet = alone()
+    now, source = fleet.world.now, fleet.addresses[1]
+    before = one.view
+    one.receive(("10.9.9.9", 1), datagram(1), now)
+    one.receive(source, datagram(2), now)
+    one.receive(fleet.addresses[0], datagram(0), now)
+    one.receive(source, b"\x00", now)
+    one.receive(source, b"x" * 257, now)
+    one.receive(source, datagram(1, version=VERSION + 1), now)
+    one.receive(source, datagram(1, News(200, 1, 1)), now)
+    assert one.dropped == {
+        "stranger": 1, "number": 1, "own address": 1, "malformed": 1, "too long": 1, "version": 1,
+        "unknown member": 1,
+    }
+    assert one.view.members == before.members
+    assert one.heard(1) == now  # one that speaks a newer version lives
+
+
+def test_a_member_that_floods_is_cut_short() -> None:
+    one, fleet = alone()
+    now = fleet.world.now
+    for _ in range(1000):
+        one.receive(fleet.addresses[1], datagram(1, kind=Kind.PING), now)
+    assert one.dropped["flood"] >= 1000 - fleet.timing.most_datagrams
+    assert sum(len(data) for _, data in one.outbox) <= fleet.timing.most_bytes
+    assert len(one.outbox) <= fleet.timing.most_datagrams
+
+
+def test_a_liar_ends_no_sound_member() -> None:
+    fleet = settled(12, 1)
+    end = fleet.world.now + 30.0
+    while fleet.world.now < end:  # 5 says again and again of all others that they are gone
+        for target in range(12):
+            if target != 5:
+                liar = core(fleet, 5)
+                lies = [
+                    News(n, liar.claims[n].incarnation, int(Standing.GONE)) for n in range(12) if n != 5
+                ]
+                fleet.carry(5, target, datagram(5, *lies))
+        fleet.world.run(fleet.world.now + 1.0)
+    assert not [pair for pair in ends(fleet) if pair[0] != 5]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_processes_of_one_number_both_say_so(seed: int) -> None:
+    fleet = settled(6, seed)
+    twin = fleet.twins[4] = Member(fleet, 4)
+    twin.start()
+    fleet.world.run(fleet.world.now + 15.0)
+    for process in (fleet.members[4], twin):
+        assert process.core is not None and process.core.view.self_state is Self.DOUBLED
+    assert any(c.what == "doubled" and c.number == 4 for m in fleet.members for c in m.history)
+    twin.kill()
+    del fleet.twins[4]
+    assert fleet.until(lambda: core(fleet, 4).view.self_state is Self.SOUND, 60.0) is not None
+
+
+def test_a_restart_is_no_second_process() -> None:
+    fleet = settled(6, 1)
+    for _ in range(5):
+        fleet.members[4].kill()
+        fleet.world.run(fleet.world.now + 0.5)
+        fleet.members[4].start()
+        fleet.world.run(fleet.world.now + 10.0)
+    assert not [c for m in fleet.members for c in m.history if c.what == "doubled"]
+
+
+def test_a_roster_that_grows_and_shrinks() -> None:
+    fleet = settled(4, 1)
+    longer = [*fleet.addresses, ("10.0.1.4", 7946)]
+    for member in fleet.members:
+        core(fleet, member.number).follow(Roster(longer, member.number), fleet.world.now)
+    assert core(fleet, 0).view.members[4].standing is Standing.UNKNOWN
+    fleet.world.run(fleet.world.now + 3.0)
+    for member in fleet.members[:3]:
+        core(fleet, member.number).follow(Roster(fleet.addresses[:3], member.number), fleet.world.now)
+    assert set(core(fleet, 0).view.members) == {1, 2}
+    fleet.world.run(fleet.world.now + 5.0)  # 3 goes on talking: a stranger
+    assert core(fleet, 0).dropped["stranger"] > 0
+    assert set(core(fleet, 0).view.members) == {1, 2}
+    with pytest.raises(ValueError, match="own number"):
+        core(fleet, 0).follow(Roster(fleet.addresses[:3], 1), fleet.world.now)
--- /dev/null
+++ b/tests/fleet/test_wire.py
@@ -0,0 +1,92 @@
+"""Datagrams: whatever bytes come, and every one that is made."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quillroad.fleet.budget import Budget
+from quillroad.fleet.wire import (
+    MOST_BYTES,
+    MOST_MEMBERS,
+    VERSION,
+    Datagram,
+    Kind,
+    Newer,
+    News,
+    Unreadable,
+    decode,
+    encode,
+)
+
+BITS = st.integers(0, 2**32 - 1)
+NUMBERS = st.integers(0, MOST_MEMBERS - 1)
+NEWS = st.builds(News, NUMBERS, BITS, st.integers(0, 4), st.integers(0, 7))
+DATAGRAMS = st.builds(
+    Datagram, st.just(VERSION), NUMBERS, BITS, BITS, st.sampled_from(list(Kind)), BITS, BITS,
+    st.lists(NEWS, max_size=12).map(tuple), NUMBERS,
+)
+
+
+def readable(data: bytes) -> bool:
+    try:
+        decode(data)
+    except (Unreadable, Newer):
+        return False
+    return True
+
+
+@given(DATAGRAMS)
+def test_what_is_encoded_is_read(datagram: Datagram) -> None:
+    data = encode(datagram)
+    assert len(data) > MOST_BYTES or decode(data) == datagram
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_read_or_refused(data: bytes) -> None:
+    readable(data)
+
+
+@given(DATAGRAMS, st.integers(0, 255), st.binary(min_size=1, max_size=3))
+def test_any_damage_is_read_or_refused(datagram: Datagram, at: int, damage: bytes) -> None:
+    data = encode(datagram)
+    readable(data[: at % len(data)] + damage + data[at % len(data) + 1 :])
+
+
+def test_bounds_on_every_field() -> None:
+    good = [VERSION, 3, 7, 1, 0, 9, 11, [], 0]
+    assert readable(msgspec.msgpack.encode(good))
+    for at, value in ((1, MOST_MEMBERS), (1, -1), (2, 2**32), (3, 2**32), (4, 9), (5, -1), (8, MOST_MEMBERS),
+                      (7, [[1, 1, 5, 0]]), (7, [[1, 1, 2, 8]]), (7, [[1]]), (7, "x"), (3, 1.5), (3, None)):
+        bad = list(good)
+        bad[at] = value
+        assert not readable(msgspec.msgpack.encode(bad)), (at, value)
+    assert not readable(msgspec.msgpack.encode(good)[:1]) and not readable(b"")
+    assert not readable(msgspec.msgpack.encode([*good, b"x" * 250]))  # longer than a datagram may be
+
+
+def test_fields_behind_those_known_are_left_unread() -> None:
+    whole = [VERSION, 3, 7, 1, 0, 9, 11, [], 0, [], b"", 0, [], {"new": 1}, 5]
+    assert decode(msgspec.msgpack.encode(whole)).sequence == 9
+
+
+def test_a_newer_version_still_tells_who_speaks() -> None:
+    with pytest.raises(Newer) as caught:
+        decode(msgspec.msgpack.encode([VERSION + 1, 3, 7, 4, "whatever", {}]))
+    assert (caught.value.head.number, caught.value.head.incarnation) == (3, 4)
+
+
+@given(st.lists(st.tuples(st.floats(0, 0.4), st.integers(1, 256)), max_size=150))
+def test_no_second_holds_more_than_the_budget(asked: list[tuple[float, int]]) -> None:
+    budget, now, went = Budget(2000, 20), 0.0, list[tuple[float, int]]()
+    for wait_s, size in asked:
+        now += wait_s
+        if budget.take(size, now):
+            went.append((now, size))
+        assert budget.held <= 20
+    for began, _ in went:
+        inside = [size for at, size in went if began <= at < began + 1.0]
+        assert sum(inside) <= 2000 and len(inside) <= 20
+    assert budget.take(256, now + 1.0)  # and it comes back
