--- a/quillroad/upstream.py
+++ b/quillroad/upstream.py
@@ -299,7 +299,7 @@
 
     def _done_with(self, whole: bool) -> None:
         """The answer is over: keep the connection where it can carry another."""
-        if whole and self._keep and not self._excess and not self._unsent and not self.closing():
+        if whole and self._keep and not self._excess and not self._unsent:
             self.upstream.release(self)
         else:
             self.drop()
@@ -362,9 +362,10 @@
     def _end_rest(self, whole: bool) -> None:
         rest, self._rest = self._rest, None
         self.upstream.rests.discard(self)
-        if rest is not None and not self.closing():
+        good = whole and not self.closing()
+        if good and rest is not None:
             rest.resume()  # its last bytes filled the client's side: the next answer here would go unread
-        self._done_with(whole)
+        self._done_with(good)
         if rest is not None:
             rest.end(whole)
 
