--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -94,7 +94,7 @@
         assert self.core is not None
         self._woken += 1
         woken = self._woken
-        self.fleet.world.at(self.core.arm() + self.lag(), lambda: self._tick(woken))
+        self.fleet.world.at(self.core.arm(self.fleet.world.now) + self.lag(), lambda: self._tick(woken))
 
     def _flush(self, core: Core) -> None:
         sent, core.outbox = core.outbox, []
--- a/pinetrack/balance.py
+++ b/pinetrack/balance.py
@@ -12,8 +12,8 @@
 from typing import TYPE_CHECKING, Any
 
 from pinetrack.interface import (
-    NEVER_RAN, Action, Alarm, Arrived, AttemptDone, Beside, Cancel, Carried, Departed, Effect, Event, Fail,
-    Group, ListKind, Log, Outcome, Refuse, Route, Send, Server, ServerList, SetAlarm, Settings, State,
+    NEVER_RAN, Action, Alarm, Arrived, AttemptDone, Beside, Cancel, Carried, Company, Departed, Effect, Event,
+    Fail, Group, ListKind, Log, Outcome, Refuse, Route, Send, Server, ServerList, SetAlarm, Settings, State,
     StreamStarted, Watch,
 )
 
@@ -186,6 +186,7 @@
         self.blocking_share = 0.0  # part of the work asked for that comes in blocking requests
         self.pace: dict[int, float] = {}  # of each kind of machine: mean log2 of latency over route cost
         # Own share of a server's concurrency limit.
+        self.number, self.balancers = settings.number, settings.balancers  # as they are now
         self.limit = (LIMIT if settings.balancers <= LIMIT else SHARED) / settings.balancers
         self.crowding = 1.0  # latency in a full server over the uncrowded one, smoothed
         self.warms = True  # the turns at cold servers are ours
@@ -265,6 +266,12 @@
             s.in_flight, s.overdue = s.in_flight + out - s.beside[0], s.overdue + late - s.beside[1]
             s.beside = (out, late)
 
+    def on_company(self, event: Company) -> None:
+        """Others came or went: own share of what servers bear together stays what was learned of the whole.
+        Guards against windows of a tenth for three that are left of ten, until each has learned it anew."""
+        self.limit *= self.balancers / event.balancers
+        self.number, self.balancers = event.number, event.balancers
+
     def on_arrived(self, event: Arrived) -> None:
         route = self.routes[event.route]
         self.recent = 1.0 + self.recent * math.exp((self.counted_us - self.now) / self.span_us)
@@ -493,13 +500,13 @@
         places = max(n * self.limit, filled)
         self.room = max(1.0, places / max(1, n))
         # Whole places, dealt out by number: all rounded up they were a tenth more than servers bear.
-        part = told.number * GOLDEN % 1.0
+        part = self.number * GOLDEN % 1.0
         self.width = width = min(n, max(FEWEST, int(places + part)))
         # Under one place each, others are there for certain, however busy this one is with what comes again.
         self.share = n * self.limit if n * self.limit < 1.0 else float(int(places + part))
         if width >= n:
             return None
-        ring = (warm * 2)[n * told.number // told.balancers :][:n]
+        ring = (warm * 2)[n * self.number // self.balancers :][:n]
         if self.one_zone:
             return list(islice((s for s in ring if s.well(self.now)), width)) or ring[:width]
         ring = [s for s in ring if s.well(self.now)] or ring
@@ -727,7 +734,7 @@
         """Concurrency limit: a full server's latency tells how many of its requests wait for others. Guards
         against crowding machines that lose speed by it long before a request misses its aim."""
         self.crowding += (crowding - self.crowding) / 64
-        waiting = self.limit * self.settings.balancers * (1.0 - 1.0 / max(1.0, self.crowding))
+        waiting = self.limit * self.balancers * (1.0 - 1.0 / max(1.0, self.crowding))
         if waiting > WAITING:
             self.limit = max(1.0, self.limit * (1.0 - ROOM))
         elif self.queued:
@@ -756,7 +763,7 @@
         if s.payoff >= OUTLIER or s.ejected_until_us > self.now:
             return
         # Guards against the trials of all that share a server jamming what they test.
-        sharing = self.settings.balancers * min(1.0, self.recent / max(1, len(self.candidates)))
+        sharing = self.balancers * min(1.0, self.recent / max(1, len(self.candidates)))
         first_us = max(TRIALS * sharing * self.mean_cost_us, *(r.spec.deadline_us for r in self.routes))
         wait_us = int(first_us * min(4, 2**s.ejections))
         s.ejections += 1
@@ -769,5 +776,5 @@
 HANDLERS: dict[type, Callable[[Balancer, Any], None]] = {
     ServerList: Balancer.on_list, Arrived: Balancer.on_arrived, Departed: Balancer.on_departed,
     AttemptDone: Balancer.on_done, StreamStarted: Balancer.on_stream, Alarm: Balancer.on_alarm,
-    Beside: Balancer.on_beside, Carried: Balancer.on_carried,
+    Beside: Balancer.on_beside, Carried: Balancer.on_carried, Company: Balancer.on_company,
 }
--- a/pinetrack/interface.py
+++ b/pinetrack/interface.py
@@ -216,13 +216,24 @@
     warms: bool = True
 
 
+class Company(NamedTuple):
+    """Event: so many balancers share the servers now, and which of them this is, from 0. Windows and limits
+    follow it; turns at cold servers and quotas stay by the told number."""
+
+    number: int
+    balancers: int
+
+
 class Carried(NamedTuple):
     """Event: attempts at other zones carried so many bytes, both ways."""
 
     size: int
 
 
-Event = Carried | ServerList | Arrived | StreamStarted | AttemptDone | Departed | Alarm | ProbeDone | Beside
+Event = (
+    Carried | Company | ServerList | Arrived | StreamStarted | AttemptDone | Departed | Alarm | ProbeDone
+    | Beside
+)
 
 
 class Send(NamedTuple):
--- a/quillroad/cli/main.py
+++ b/quillroad/cli/main.py
@@ -8,6 +8,7 @@
 
 from quillroad.cli.check import check
 from quillroad.cli.demo import demo
+from quillroad.cli.fleet import fleet as show_fleet
 from quillroad.cli.run import run_file
 from quillroad.cli.upgrade import rollback, status, upgrade
 from quillroad.cli.zones import zones as show_zones
@@ -25,19 +26,25 @@
     "--zones", type=click.Path(path_type=Path), envvar="QUILLROAD_ZONES",
     help="file that holds traffic to other zones to a budget (TOML)",
 )
+@click.option(
+    "--fleet", type=click.Path(path_type=Path), envvar="QUILLROAD_FLEET",
+    help="file that turns the view of which gateways are there on (TOML)",
+)
 @click.pass_context
 def commands(
-    context: click.Context, config: Path | None, upgrades: Path | None, zones: Path | None
+    context: click.Context, config: Path | None, upgrades: Path | None, zones: Path | None,
+    fleet: Path | None,
 ) -> None:
     """A gateway that serves by a configuration file. Without arguments it is what the platform starts."""
     if context.invoked_subcommand is None:
         if config is None:
             raise click.UsageError("--config or a command is needed")
-        context.exit(run_file(config, upgrades, zones))
+        context.exit(run_file(config, upgrades, zones, fleet))
 
 
 commands.add_command(check)
 commands.add_command(demo)
+commands.add_command(show_fleet)
 commands.add_command(show_zones)
 for command in (upgrade, rollback, status):
     commands.add_command(command)
--- a/quillroad/config/__init__.py
+++ b/quillroad/config/__init__.py
@@ -10,6 +10,7 @@
     ConfigError,
     ConsulHosts,
     Descriptors,
+    Peers,
     Register,
     StaticHost,
     StaticHosts,
@@ -19,5 +20,5 @@
 
 __all__ = [
     "LONG_BODY", "RESERVED", "SHORT_BODY", "Address", "Config", "ConfigError", "ConsulHosts", "Descriptors",
-    "Register", "StaticHost", "StaticHosts", "changed_fields", "load", "read_address", "reload",
+    "Peers", "Register", "StaticHost", "StaticHosts", "changed_fields", "load", "read_address", "reload",
 ]
--- a/quillroad/config/model.py
+++ b/quillroad/config/model.py
@@ -84,6 +84,14 @@
     token_file: Path | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """Where this gateway hears others, and the address of each by its number, its own among them."""
+
+    listen: Address
+    addresses: tuple[Address, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """One gateway's configuration. The names that the sockets use stand in their order in the settings."""
@@ -106,6 +114,7 @@
     admin: Address | None = None  # where operators call; None: nowhere
     longest_body: int = SHORT_BODY  # of requests and answers, in bytes, from SHORT_BODY on
     buffers: int = BUFFERS  # bytes of long bodies that are held at once
+    peers: Peers | None = None  # None: the platform allows no talk between gateways
 
 
 def read_address(text: Any, field: str) -> Address:
--- a/quillroad/config/platform.py
+++ b/quillroad/config/platform.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from pinetrack.benchlink import read_settings
-from quillroad.config.model import BUFFERS, LONG_BODY, SHORT_BODY, Config, ConfigError, read_address
+from quillroad.config.model import BUFFERS, LONG_BODY, SHORT_BODY, Config, ConfigError, Peers, read_address
 
 PROCESSES_MB = 48  # two processes with nothing of bodies: 40 MB measured, and room
 
@@ -52,6 +52,12 @@
     return max(SHORT_BODY, min(BUFFERS, int((value - PROCESSES_MB) * 2**20)))
 
 
+def _peers(data: Mapping[str, Any]) -> Peers:
+    told = _part(data, "peers", list, "peers", [])
+    addresses = tuple(read_address(address, f"peers[{i}]") for i, address in enumerate(told))
+    return Peers(read_address(data["peer_listen"], "peer_listen"), addresses)
+
+
 def _names(data: Mapping[str, Any], key: str) -> tuple[str, ...]:
     names = _part(data, key, list, f"settings.{key}", [])
     return tuple(str(name.get("name")) if isinstance(name, dict) else str(name) for name in names)
@@ -105,6 +111,7 @@
         admin=read_address(admin, "admin_addr") if admin else None,
         longest_body=LONG_BODY if admin else SHORT_BODY,
         buffers=_buffers(_part(data, "limits", dict, "limits", {})),
+        peers=_peers(data) if limits.get("peers") is True and data.get("peer_listen") else None,
         idle_s=_above_zero(limits, "conn_idle", "settings.limits.conn_idle", 15_000_000) / 1e6,
     )
 
@@ -116,6 +123,6 @@
 
 def changed_fields(old: Config, new: Config) -> list[str]:
     """What differs and a reload does not take over. Seed and known list are for a start alone."""
-    kept = {"discovery", "hosts", "known", "seed"}
+    kept = {"discovery", "hosts", "known", "seed", "peers"}
     names = [field.name for field in fields(Config) if field.name not in kept]
     return [name for name in names if getattr(old, name) != getattr(new, name)]
--- a/quillroad/fleet/core.py
+++ b/quillroad/fleet/core.py
@@ -132,7 +132,7 @@
         self._next_gossip = now + draw() * timing.gossip_s
         self._next_gone = now
         self._next_sync = now
-        self._stepped = self._armed = now
+        self._armed = now
         self.claims.merge(self.number, Claim(1, Standing.ALIVE))
         self._queue.put(self.number)
 
@@ -155,7 +155,7 @@
         """Entries of state beyond one for each member: bounded, and none once nothing is going on."""
         return len(self._suspicions) + len(self._helps) + len(self._queue) + len(self._probes)
 
-    def arm(self) -> float:
+    def arm(self, now: float) -> float:
         """When `tick` is due next; to be asked for after each call that may change it. A tick that comes
         later than that is taken for a sign of a slow process."""
         times = [self._next_probe, self._next_gone]
@@ -164,12 +164,12 @@
         times += (probe.due for probe in self._probes.values())
         times += (min(h.nack, h.ends) for h in self._helps.values())
         times += (s.ends for s in self._suspicions.values())
-        self._armed = max(min(times), self._stepped)
+        self._armed = max(min(times), now)
         return self._armed
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        late_s, self._stepped = now - self._armed, now
+        late_s = now - self._armed
         if late_s > 0 and self._condition.ticked(late_s, now):
             self._woke(now)
         self._judge_self(now)
--- /dev/null
+++ b/quillroad/fleet/daemon.py
@@ -0,0 +1,256 @@
+"""The view of the fleet in a running gateway: its socket, its clock, and what follows from it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import os
+import random
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import structlog
+
+from pinetrack.interface import Company
+from quillroad.config import Config
+from quillroad.engine import Engine
+from quillroad.files import Writer
+from quillroad.fleet.core import Core
+from quillroad.fleet.report import make_report, write_report
+from quillroad.fleet.settings import FleetSettings, load_fleet
+from quillroad.fleet.share import Part, Share
+from quillroad.fleet.wire import MOST_BYTES
+from quillroad.membership.source import Source
+
+log = logging.getLogger("quillroad.fleet")
+
+MOST_READ = 64  # datagrams in one turn of the loop: a flood has no more of it than that
+TAKEN_S = 0.5  # until an address that another process holds is tried again
+TOLD_S = 10.0  # between two lines about it
+
+
+class _Lines:
+    """What structlog writes to."""
+
+    def __init__(self, files: Writer, path: Path) -> None:
+        self._files, self._path = files, path
+
+    def info(self, line: str) -> None:
+        self._files.append(self._path, line)
+
+
+class Fleet:
+    """One gateway's part in the view, from `start` to `stop`. Without a roster, because the platform forbids
+    talk between gateways, it does nothing."""
+
+    def __init__(self, path: Path, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        """Raises `ConfigError`."""
+        self._path, self._config, self._loop = path, config, loop
+        self.settings: FleetSettings | None = load_fleet(path, config)
+        self.core: Core | None = None
+        told = config.settings
+        self._told = Part(told.number, told.balancers)
+        self.part = self._told
+        self._share: Share | None = None
+        self._engine: Engine | None = None
+        self._source: Callable[[], Source] | None = None
+        self._socket: socket.socket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._reporter: asyncio.TimerHandle | None = None
+        self._complained = float("-inf")
+        self._files = Writer(loop)
+        self._events: Any = None  # structlog's logger; None: changes are written nowhere
+        if self.settings is None:
+            log.info("the settings allow no talk between gateways: the told number counts")
+
+    def attach(self, engine: Engine, source: Callable[[], Source]) -> None:
+        """Whom the live number is told to; `source` gives the present source of hosts."""
+        self._engine, self._source = engine, source
+
+    def start(self) -> None:
+        """Take part from now on, or as soon as the address is free."""
+        settings = self.settings
+        if settings is None:
+            return
+        self._open_events(settings)
+        self._try()
+
+    def _try(self) -> None:
+        settings = self.settings
+        assert settings is not None
+        self._timer = None
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        try:
+            opened.bind(settings.listen)
+        except OSError as error:
+            opened.close()
+            # In an upgrade the process that leaves still has it; else two run under one number.
+            now = monotonic()
+            if now - self._complained >= TOLD_S:
+                self._complained = now
+                why = "another process holds it" if error.errno == errno.EADDRINUSE else error.strerror
+                log.error("no part in the fleet's view: %s:%d: %s", *settings.listen, why)
+            self._timer = self._loop.call_later(TAKEN_S, self._try)
+            return
+        self._socket = opened
+        life = int.from_bytes(os.urandom(4), "big")
+        draw = random.Random(self._config.seed ^ life).random
+        self.core = Core(settings.roster, settings.timing, monotonic(), draw, life)
+        self._share = Share(self._told, settings.hold_s)
+        self._loop.add_reader(opened, self._readable)
+        self._arm()
+        self._report()
+
+    def reload(self, config: Config) -> None:
+        """Take over another roster. Raises `ConfigError`; times and addresses of its own change with a
+        restart."""
+        settings = load_fleet(self._path, config)
+        if settings is None or self.settings is None or self.core is None:
+            return
+        if settings.listen != self.settings.listen or settings.timing != self.settings.timing:
+            log.warning("these change with a restart only: members.listen, talk")
+        self.settings = settings
+        self._told = Part(config.settings.number, config.settings.balancers)
+        self.core.follow(settings.roster, monotonic())
+        self._after()
+
+    def leave(self) -> None:
+        """Say that this gateway goes; nobody has to find it gone."""
+        if self.core is not None:
+            self.core.leave(monotonic())
+            self._flush()
+
+    def stop(self) -> None:
+        """Take no part any more; without `leave` before it others take it for crashed, or for the process
+        that comes next under its number."""
+        for timer in (self._timer, self._reporter):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._reporter = None
+        if self._socket is not None:
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+        self._files.close()
+        self.core = None
+
+    # The socket and the clock.
+
+    def _readable(self) -> None:
+        """Read what has come, and do what is due."""
+        try:
+            self._read()
+            self._after()
+        except Exception:  # a fault here may cost the view, and no request
+            log.exception("the fleet's view failed on a datagram")
+
+    def _read(self) -> None:
+        opened, core = self._socket, self.core
+        if opened is None or core is None:
+            return
+        for _ in range(MOST_READ):
+            try:
+                data, source = opened.recvfrom(MOST_BYTES + 1)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                continue  # word that an earlier datagram found nobody
+            core.receive((source[0], source[1]), data, monotonic())
+
+    def _due(self) -> None:
+        core, self._timer = self.core, None
+        if core is None:
+            return
+        try:
+            self._read()  # what lies here may be what is missed: a process that stood still has both at once
+            core.tick(monotonic())
+            self._after()
+        except Exception:
+            log.exception("the fleet's view failed")
+            self._arm()
+
+    def _arm(self) -> None:
+        core = self.core
+        if core is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(max(0.0, core.arm(now := monotonic()) - now), self._due)
+
+    def _after(self) -> None:
+        self._flush()
+        self._tell_changes()
+        self._divide()
+        self._arm()
+
+    def _flush(self) -> None:
+        core, opened = self.core, self._socket
+        if core is None or opened is None:
+            return
+        out, core.outbox = core.outbox, []
+        for number, data in out:
+            try:
+                opened.sendto(data, core.roster.addresses[number])
+            except OSError:
+                core.dropped["not sent"] += 1
+
+    # What follows.
+
+    def _divide(self) -> None:
+        """Use the live number where the settings say so."""
+        core, share, settings = self.core, self._share, self.settings
+        if core is None or share is None or settings is None:
+            return
+        part = share.follow(core.view, monotonic())
+        if part == self.part:
+            return
+        self._note("part", number=part.number, of=part.of, state=core.view.self_state.value)
+        self.part = part
+        if settings.windows and self._engine is not None:
+            self._engine.feed(Company(part.number, part.of))
+        if settings.rounds and self._source is not None:
+            self._source().divide(part.number, part.of)
+
+    def _open_events(self, settings: FleetSettings) -> None:
+        if settings.changes is not None:
+            self._events = structlog.wrap_logger(
+                _Lines(self._files, settings.changes),
+                processors=[structlog.processors.TimeStamper(), structlog.processors.JSONRenderer()],
+            )
+
+    def _note(self, event: str, **facts: object) -> None:
+        if self._events is not None:
+            self._events.info(event, gateway=self._config.settings.number, **facts)
+
+    def _tell_changes(self) -> None:
+        core = self.core
+        if core is None:
+            return
+        changes, core.changes = core.changes, []
+        for change in changes:
+            self._note(
+                change.what, member=change.number, incarnation=change.incarnation, cause=change.cause,
+                by=change.by, clock=round(change.at, 3),
+            )
+            if change.number == core.number and change.what != "refuted":
+                say = log.error if change.what == "doubled" else log.info
+                say("this gateway is %s", change.what)
+            elif change.what in ("gone", "doubled"):
+                log.info("gateway %d is %s (%s, by %d)", change.number, change.what, change.cause, change.by)
+
+    def _report(self) -> None:
+        settings, core = self.settings, self.core
+        if settings is None or core is None:
+            return
+        self._divide()  # a share grows by the time alone, too
+        if settings.report is not None:
+            used = settings.windows or settings.rounds
+            report = make_report(core, self._config.name, self.part, used, monotonic(), time.time())
+            self._files.replace(settings.report, write_report(report))
+        self._reporter = self._loop.call_later(settings.every_s, self._report)
--- a/quillroad/gateway.py
+++ b/quillroad/gateway.py
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:
     from quillroad.admin import Admin
     from quillroad.counts import Counts
+    from quillroad.fleet.daemon import Fleet
     from quillroad.membership.consul.registrar import Registrar
     from quillroad.zones.zones import Zones
 
@@ -116,6 +117,12 @@
             from quillroad.counts import Counts  # noqa: PLC0415
 
             self.counts = Counts(loop, self.engine, self.upstream)
+        self.fleet: Fleet | None = None
+        if told := os.environ.get("QUILLROAD_FLEET"):
+            from quillroad.fleet.daemon import Fleet  # noqa: PLC0415
+
+            self.fleet = Fleet(Path(told), config, loop)
+            self.fleet.attach(self.engine, lambda: self.source)
         self.port = 0
         self._sweeper: asyncio.Task[None] | None = None
 
@@ -142,6 +149,8 @@
             self.registrar.start()
         if self.counts is not None:
             self.counts.start()
+        if self.fleet is not None:
+            self.fleet.start()
         self._sweeper = self.loop.create_task(self._sweep())
 
     def reload(self, read: Callable[[], Config]) -> None:
@@ -151,6 +160,8 @@
             config = read()
             if self.zones is not None:
                 self.zones.reload()
+            if self.fleet is not None:
+                self.fleet.reload(config)
         except ConfigError as error:
             log.error("the old configuration stands: %s", error)
             self._reloaded(False)
@@ -214,6 +225,8 @@
         may still send, for ending them first would lose what crosses the close."""
         self.duty.end()
         self.server.draining = True
+        if self.fleet is not None:
+            self.fleet.leave()
         leaving = None if self.registrar is None else self.loop.create_task(self.registrar.leave())
         await asyncio.sleep(ACCEPT_S)
         self.server.stop_listening()
@@ -234,6 +247,8 @@
             self.registrar.stop()
         if self.counts is not None:
             self.counts.stop()
+        if self.fleet is not None:
+            self.fleet.stop()
         if self._resting is not None:
             self._resting.cancel()
         if self.admin is not None:
--- a/quillroad/membership/consul/source.py
+++ b/quillroad/membership/consul/source.py
@@ -85,6 +85,9 @@
     def begin(self, config: Config) -> None:
         """Nothing is known without asking."""
 
+    def divide(self, number: int, balancers: int) -> None:
+        """Each gateway asks an agent of its own."""
+
     def follow(self, config: Config) -> None:
         assert isinstance(config.hosts, ConsulHosts)
         self.follow_told(told_by(config.hosts))
--- a/quillroad/membership/pacing.py
+++ b/quillroad/membership/pacing.py
@@ -37,13 +37,18 @@
     `number` is which of them this is, from 0; `draw` gives a random number from 0 to below 1."""
 
     def __init__(self, balancers: int, number: int, draw: Callable[[], float]) -> None:
-        self._number, self._balancers, self._draw = number, balancers, draw
+        self._draw, self._broken_s = draw, BROKEN_S
+        self._unsure = 0  # short rounds left
+        self.divide(number, balancers)
+
+    def divide(self, number: int, balancers: int) -> None:
+        """So many ask now, and which of them this is, from 0: the next waits follow it."""
+        self._number, self._balancers = number, balancers
         crowd_s = min(ROUND_S, balancers / RATE) if balancers > FEW else 0.0
         self._first_s = max(FIRST_S, crowd_s)
         self._most_s = max(MOST_S, self._first_s)
         self._unsure_s = min(UNSURE_S, crowd_s)
-        self._round_s, self._broken_s = self._first_s, BROKEN_S
-        self._unsure = 0  # short rounds left
+        self._round_s = self._first_s
 
     def start_s(self) -> float:
         """Seconds from the start until the first call: this gateway's part of a short round."""
--- a/quillroad/membership/platform.py
+++ b/quillroad/membership/platform.py
@@ -72,10 +72,15 @@
         self._task: asyncio.Task[None] | None = None
         told = config.settings
         # Where lists are pushed each gateway has an agent of its own, and company with nobody.
+        self._shared = told.discovery_asks
         self._pacing = Pacing(
-            told.balancers if told.discovery_asks else 1, told.number, random.Random(config.seed).random
+            told.balancers if self._shared else 1, told.number, random.Random(config.seed).random
         )
 
+    def divide(self, number: int, balancers: int) -> None:
+        if self._shared:
+            self._pacing.divide(number, balancers)
+
     def begin(self, config: Config) -> None:
         """Serve by the list as this gateway last had it until discovery's first answer."""
         if config.known:
--- a/quillroad/membership/source.py
+++ b/quillroad/membership/source.py
@@ -26,6 +26,9 @@
 
     def stop(self) -> None: ...
 
+    def divide(self, number: int, balancers: int) -> None:
+        """So many gateways share the source now, and which of them this is, from 0."""
+
     def follow(self, config: Config) -> None:
         """The same kind of source by another configuration: what it told stands until it tells more."""
 
--- a/quillroad/membership/static.py
+++ b/quillroad/membership/static.py
@@ -42,5 +42,8 @@
     def stop(self) -> None:
         pass
 
+    def divide(self, number: int, balancers: int) -> None:
+        """Nobody is asked."""
+
     def follow(self, config: Config) -> None:
         self.begin(config)
--- a/quillroad/start.py
+++ b/quillroad/start.py
@@ -17,13 +17,17 @@
     again: Callable[[], Config],
     upgrades: Path | None = None,
     zones: Path | None = None,
+    fleet: Path | None = None,
     arguments: Sequence[str] = (),
 ) -> int:
     """Run to the end; returns the status to exit with. `first` reads the configuration for the start,
     `again` for a reload. Upgrades are on where `upgrades` or QUILLROAD_UPGRADES names their file, the budget
-    for other zones where `zones` or QUILLROAD_ZONES does; only then is any of it imported."""
+    for other zones where `zones` or QUILLROAD_ZONES does, the view of the fleet where `fleet` or
+    QUILLROAD_FLEET does; only then is any of it imported."""
     if zones is not None:
         os.environ["QUILLROAD_ZONES"] = str(zones)  # for workers, too
+    if fleet is not None:
+        os.environ["QUILLROAD_FLEET"] = str(fleet)
     told = os.environ.get("QUILLROAD_ZONES")
     file = Path(told) if told else None
     if os.environ.get("QUILLROAD_SEAT"):
--- a/quillroad/zones/zones.py
+++ b/quillroad/zones/zones.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import os
 import time
 from collections.abc import Callable
 from functools import partial
@@ -16,6 +15,7 @@
 from pinetrack.interface import Carried, Outcome
 from quillroad.config import Config, ConfigError
 from quillroad.engine import Engine
+from quillroad.files import put
 from quillroad.upstream import Answer, Done, Host
 from quillroad.zones.ledger import Ledger
 from quillroad.zones.report import Minutes, Report, make_report
@@ -115,17 +115,6 @@
                 log.error("the report cannot be written: %s", error)
 
 
-def put(path: Path, data: bytes) -> None:
-    """Replace a file as a whole, so that a reader never finds half of one (rename(2))."""
-    part = path.with_name(f".{path.name}.{os.getpid()}")
-    try:
-        part.write_bytes(data)
-        part.replace(path)
-    except OSError:
-        part.unlink(missing_ok=True)
-        raise
-
-
 def _load(path: Path, config: Config) -> ZoneSettings:
     try:
         return load_zones(path, config)
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -1,9 +1,9 @@
-"""`python -m rig hosts|load|ration JSON`: stand-ins and load as processes of their own, each with its core.
+"""`python -m rig hosts|load|ration|relay JSON`: stand-ins and load as processes, each with its core.
 
 `hosts` starts stand-in hosts and a discovery, prints one JSON line with its port, and serves until its
 standard input ends; then it prints how much each host received. `load` sends what its JSON says and prints
-one JSON line with the account. `ration` prints a line, and holds a process to a part
-of its core from then on.
+one JSON line with the account. `ration` prints a line, and holds a process to a part of its core from then
+on. `relay` carries gateways' datagrams.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from rig.clients import Load
 from rig.hosts import Discovery, Host
 from rig.ration import ration
+from rig.relay import run_relay
 
 
 async def run_hosts(told: dict[str, Any]) -> None:
@@ -70,7 +71,7 @@
         print(flush=True)
         ration(told["pid"], told["share"], told["period"], told["seconds"])
         return 0
-    uvloop.run({"hosts": run_hosts, "load": run_load}[sys.argv[1]](told))
+    uvloop.run({"hosts": run_hosts, "load": run_load, "relay": run_relay}[sys.argv[1]](told))
     return 0
 
 
--- a/rig/gateway.py
+++ b/rig/gateway.py
@@ -42,8 +42,8 @@
     }
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(type=kind) as probe:
         probe.bind(("127.0.0.1", 0))
         port: int = probe.getsockname()[1]
         return port
@@ -70,6 +70,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.admin = 0  # its operators' port; 0: they have none
         self.upgrades = ""  # the text of the file that turns upgrades on
+        self.fleet = ""  # the text of the file that turns the view of the fleet on
         self.budget = ""  # the text of the file that holds traffic to other zones to a budget
         build = os.environ.get("RIG_BUILD")
         self.tree = Path(build) if build else None  # whose packages run in place of the source tree's
@@ -118,6 +119,21 @@
         assert self.process is not None
         return self.process.pid
 
+    def talks(self, fleet: str, listen: tuple[str, int], peers: list[str]) -> None:
+        """Let it talk to others by the text of this file: heard at `listen`, it reaches each at its address
+        in `peers`, by number."""
+        self.fleet = f'{fleet}\n[report]\nfile = "{self.view_file}"\nevery = "100 ms"\n'
+        self.fleet += f'changes = "{self.changes_file}"\n'
+        self._data |= {"peer_listen": f"{listen[0]}:{listen[1]}", "peers": peers}
+
+    @property
+    def view_file(self) -> Path:
+        return self._folder / "view.json"
+
+    @property
+    def changes_file(self) -> Path:
+        return self._folder / "changes.jsonl"
+
     def reconfigure(self, **changes: Any) -> Path:
         """Write its configuration file, with changes; it reads it at its start and by SIGHUP."""
         self._data |= changes
@@ -138,6 +154,10 @@
             file = self._folder / "zones.toml"
             file.write_text(self.budget)
             told["QUILLROAD_ZONES"] = str(file)
+        if self.fleet:
+            file = self._folder / "fleet.toml"
+            file.write_text(self.fleet)
+            told["QUILLROAD_FLEET"] = str(file)
         return await self._start(command, told, log)
 
     async def _start(self, command: Sequence[str], told: dict[str, str], log: bool) -> Self:
@@ -202,6 +222,9 @@
     def drain(self) -> None:
         os.kill(self.pid, signal.SIGTERM)
 
+    def kill(self) -> None:
+        os.kill(self.pid, signal.SIGKILL)
+
     async def stop(self) -> str:
         """End it; returns its log where that was kept."""
         process = self.process
--- a/rig/processes.py
+++ b/rig/processes.py
@@ -16,7 +16,7 @@
 PERIOD_S = 0.05  # of a ration: the kernel counts a running process's time every few milliseconds only
 
 
-async def _start(*command: str) -> asyncio.subprocess.Process:
+async def start_part(*command: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "rig", *command, cwd=ROOT, stdin=PIPE, stdout=PIPE, stderr=DEVNULL, limit=2**27
     )
@@ -28,7 +28,7 @@
     told: dict[str, Any] = {"pid": pid, "share": share, "period": PERIOD_S, "seconds": 600.0}
     if core is not None:
         told["core"] = core
-    process = await _start("ration", json.dumps(told))
+    process = await start_part("ration", json.dumps(told))
     assert process.stdout is not None
     await process.stdout.readline()
     return process
@@ -44,7 +44,7 @@
         self.discovery_port, self.ports = 0, list[int]()
 
     async def start(self) -> HostsProcess:
-        self._process = await _start("hosts", json.dumps(self._told))
+        self._process = await start_part("hosts", json.dumps(self._told))
         assert self._process.stdout is not None
         told = json.loads(await self._process.stdout.readline())
         self.discovery_port, self.ports = told["discovery"], told["hosts"]
@@ -93,7 +93,7 @@
                 told[name] = [(rate / len(cores), length) for rate, length in value]
             else:
                 told[name] = value
-        workers.append(await _start("load", json.dumps(told)))
+        workers.append(await start_part("load", json.dumps(told)))
     result = Result()
     for worker in workers:
         out, _ = await worker.communicate()
--- /dev/null
+++ b/rig/relay.py
@@ -0,0 +1,210 @@
+"""Every gateway's datagrams to every other go through here, and are treated as a script or a test says.
+
+Each gateway has an address of its own here for each other one: what it sends there goes on to that other's
+own socket, and comes from the address that this other has for it. So each meets the others under addresses
+of its own, and nothing passes that was not let through. Runs as a process: `python -m rig relay JSON`, told
+how many gateways there are and where they listen; prints where each reaches the others, then takes one JSON
+object a line. Losses and delays come from one seed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import sys
+from collections import Counter
+from functools import partial
+from random import Random
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+Part = Annotated[float, Meta(ge=0, le=1)]
+HELD = 10_000  # datagrams that wait for their time: more than that are lost
+
+
+class Rule(Struct, forbid_unknown_fields=True):
+    """What happens to datagrams from `sources` to `targets`; empty: from or to everybody. Delays in
+    seconds. With `both` the other way round, too."""
+
+    sources: list[int] = []
+    targets: list[int] = []
+    both: bool = False
+    cut: bool = False
+    loss: Part = 0.0
+    doubled: Part = 0.0
+    delay_s: Annotated[float, Meta(ge=0, le=60)] = 0.0
+    jitter_s: Annotated[float, Meta(ge=0, le=60)] = 0.0
+
+    def holds(self, source: int, target: int) -> bool:
+        def between(a: int, b: int) -> bool:
+            return (not self.sources or a in self.sources) and (not self.targets or b in self.targets)
+
+        return between(source, target) or (self.both and between(target, source))
+
+
+class Phase(Struct, forbid_unknown_fields=True):
+    """From `at_s` seconds of the script on these rules hold, and none of those before."""
+
+    at_s: Annotated[float, Meta(ge=0, le=3600)]
+    rules: list[Rule] = []
+
+
+class Script(Struct, forbid_unknown_fields=True):
+    """The faults of one run, as TOML."""
+
+    seed: int = 1
+    phases: list[Phase] = []
+
+
+def read_script(text: str) -> Script:
+    """Raises `msgspec.MsgspecError` for a script that makes no sense."""
+    return msgspec.toml.decode(text, type=Script)
+
+
+class Relay:
+    """`listens` are the gateways' own addresses, by number."""
+
+    def __init__(self, listens: list[tuple[str, int]], seed: int) -> None:
+        self._listens, self._random = listens, Random(seed)
+        self._loop = asyncio.get_running_loop()
+        self._rules: list[Rule] = []
+        self._waiting = 0
+        self.counts: Counter[str] = Counter()
+        self.bytes = Counter[int]()  # that each gateway has sent
+        size = len(listens)
+        self._sockets = {(a, b): self._open(a, b) for a in range(size) for b in range(size) if a != b}
+
+    def _open(self, source: int, target: int) -> socket.socket:
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.bind(("127.0.0.1", 0))
+        self._loop.add_reader(opened, partial(self._readable, source, target, opened))
+        return opened
+
+    def peers(self, number: int) -> list[str]:
+        """Where this gateway reaches and hears each other one; its own entry is its own address."""
+        addresses = []
+        for other in range(len(self._listens)):
+            at = self._listens[number] if other == number else self._sockets[number, other].getsockname()
+            addresses.append(f"{at[0]}:{at[1]}")
+        return addresses
+
+    def rule(self, rules: list[Rule]) -> None:
+        """From now on these hold, the first that fits, and no others."""
+        self._rules = rules
+
+    def run(self, script: Script) -> None:
+        self._random.seed(script.seed)
+        for phase in script.phases:
+            self._loop.call_later(phase.at_s, self.rule, phase.rules)
+
+    def inject(self, source: int, target: int, data: bytes) -> None:
+        """Let one gateway hear what another never said."""
+        self._pass(source, target, data)
+
+    def _readable(self, source: int, target: int, opened: socket.socket) -> None:
+        while True:
+            try:
+                data, sender = opened.recvfrom(65536)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                continue  # word that nobody listens at a gateway's address
+            if sender != self._listens[source]:
+                self.counts["stranger"] += 1
+                continue
+            self.counts["sent"] += 1
+            self.bytes[source] += len(data)
+            self._carry(source, target, data)
+
+    def _carry(self, source: int, target: int, data: bytes) -> None:
+        rule = next((rule for rule in self._rules if rule.holds(source, target)), None)
+        if rule is None:
+            self._pass(source, target, data)
+            return
+        for _ in range(1 + (self._random.random() < rule.doubled)):
+            if rule.cut or self._random.random() < rule.loss or self._waiting >= HELD:
+                self.counts["lost"] += 1
+                continue
+            late_s = rule.delay_s + rule.jitter_s * self._random.random()
+            if late_s:
+                self._waiting += 1
+                self._loop.call_later(late_s, self._later, source, target, data)
+            else:
+                self._pass(source, target, data)
+
+    def _later(self, source: int, target: int, data: bytes) -> None:
+        self._waiting -= 1
+        self._pass(source, target, data)
+
+    def _pass(self, source: int, target: int, data: bytes) -> None:
+        try:
+            self._sockets[target, source].sendto(data, self._listens[target])
+            self.counts["passed"] += 1
+        except OSError:
+            self.counts["refused"] += 1
+
+    def close(self) -> None:
+        for opened in self._sockets.values():
+            self._loop.remove_reader(opened)
+            opened.close()
+
+
+async def run_relay(told: dict[str, Any]) -> None:
+    """Until standard input ends; then one line of counts."""
+    relay = Relay([(host, port) for host, port in told["listens"]], told.get("seed", 1))
+    print(json.dumps([relay.peers(n) for n in range(len(told["listens"]))]), flush=True)
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        command = json.loads(line)
+        if "rules" in command:
+            relay.rule(msgspec.convert(command["rules"], list[Rule]))
+        elif "script" in command:
+            relay.run(read_script(command["script"]))
+        elif "inject" in command:
+            source, target, data = command["inject"]
+            relay.inject(source, target, bytes.fromhex(data))
+        print(json.dumps({"counts": relay.counts, "bytes": relay.bytes}), flush=True)
+    relay.close()
+
+
+class RelayProcess:
+    """The relay, from a test's side."""
+
+    def __init__(self, listens: list[tuple[str, int]], seed: int = 1) -> None:
+        self._told = {"listens": listens, "seed": seed}
+        self.peers: list[list[str]] = []
+
+    async def start(self) -> RelayProcess:
+        from rig.processes import start_part  # noqa: PLC0415
+
+        self._process = await start_part("relay", json.dumps(self._told))
+        assert self._process.stdout is not None
+        self.peers = json.loads(await self._process.stdout.readline())
+        return self
+
+    async def say(self, **command: Any) -> dict[str, Any]:
+        """One command; returns the relay's counts right after it."""
+        assert self._process.stdin is not None and self._process.stdout is not None
+        self._process.stdin.write(json.dumps(command).encode() + b"\n")
+        told: dict[str, Any] = json.loads(await self._process.stdout.readline())
+        return told
+
+    async def rule(self, *rules: dict[str, Any]) -> None:
+        """From now on these rules hold and no others; none: all is let through."""
+        await self.say(rules=rules)
+
+    async def apart(self, *groups: list[int]) -> None:
+        """Cut every group off from every other."""
+        await self.rule(*(
+            {"sources": a, "targets": b, "cut": True, "both": True}
+            for i, a in enumerate(groups) for b in groups[i + 1 :]
+        ))
+
+    async def stop(self) -> None:
+        await self._process.communicate(b"")
--- a/rig/stage.py
+++ b/rig/stage.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from pathlib import Path
+from socket import SOCK_DGRAM
 from typing import Any
 
 from rig.account import Drain, Receipt, Work, broken_rules
@@ -15,6 +16,7 @@
 from rig.gateway import GatewayProcess, free_port, settings
 from rig.hosts import Discovery, Host
 from rig.processes import hold
+from rig.relay import RelayProcess
 
 
 class Stage:
@@ -24,7 +26,8 @@
     which hosts are dealt out in turn; with `operators` each has an address for them; `path` is a folder whose
     modules come before those of the build, `tree` one whose packages run in place of the source tree's. The
     last `later` of the gateways start with `start_later` only, by the list as it is by then; `registry` makes
-    what lists the hosts."""
+    what lists the hosts; `fleet` is the text of the file that turns the view of the fleet on, with the
+    gateways' datagrams through `relay`, where `peers` allows them to talk."""
 
     def __init__(
         self,
@@ -43,12 +46,15 @@
         operators: bool = False,
         later: int = 0,
         registry: Callable[[list[Host]], Discovery] = Discovery,
+        fleet: str = "",
+        peers: bool = True,
         **told: Any,
     ) -> None:
         self._folder, self._works, self._sockets = folder, works, sockets
         self._told, self._budget = {"zones": list(zones)} | told, budget
         self.hosts = [Host(f"s-{i}", delay, zones[i % len(zones)]) for i in range(hosts)]
         self._operators, self._later, self._list = operators, later, registry
+        self._fleet, self._peers, self.relay = fleet, bool(fleet) and peers, RelayProcess([])
         self._count, self._upgrades, self._path, self._tree = gateways, upgrades, path, tree
         self.gateways: list[GatewayProcess] = []
         self.log = ""
@@ -64,18 +70,29 @@
             await host.start()
         self.discovery = await self._list(self.hosts).start()
         cores = sorted(os.sched_getaffinity(0))
+        # An address for each: the relay's many sockets may get any free port of 127.0.0.1.
+        listens = [(f"127.1.0.{n + 1}", free_port(SOCK_DGRAM)) for n in range(self._count)]
+        if self._fleet:
+            self.relay = await RelayProcess(listens).start()
+        starting = []
         for number in range(self._count):
             folder = self._folder / str(number)
             folder.mkdir()
-            told = settings(self._works) | {"balancers": self._count, "my_number": number} | self._told
+            told = settings(self._works, peers=self._peers)
+            told |= {"balancers": self._count, "my_number": number} | self._told
             core = cores[-1 - number % len(cores)]
             gateway = GatewayProcess(folder, self.discovery.port, told, self._sockets, core)
             gateway.upgrades, gateway.path, gateway.budget = self._upgrades, self._path, self._budget
             gateway.tree = self._tree or gateway.tree
             gateway.admin = free_port() if self._operators else 0
+            if self._fleet:
+                gateway.talks(self._fleet, listens[number], self.relay.peers[number])
             self.gateways.append(gateway)
             if number < self._count - self._later:
-                await gateway.start()
+                starting.append(gateway.start())
+                if not self._fleet:
+                    await starting.pop()
+        await asyncio.gather(*starting)
         return self
 
     async def start_later(self) -> None:
@@ -90,6 +107,8 @@
         self.log = "".join([await gateway.stop() for gateway in self.gateways])
         for ration in self._rations:  # it ends with the process that it held
             await ration.wait()
+        if self._fleet:
+            await self.relay.stop()
         self.discovery.stop()
         for host in self.hosts:
             host.stop()
--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,219 @@
+"""Processes of the program with faults between them: what each holds of the others, and one account for all.
+
+Waits are for the views to say something; a bound on a wait is the test's own, and no timing is judged."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from quillroad.fleet.report import Report, read_report
+from rig.account import Work, tally, total
+from rig.schedule import steady
+from rig.stage import Stage
+from tests.net import on_loop, until
+
+WORKS = [
+    Work("status-check", 0.58, 1.4, 2.0),
+    Work("seat-checkout", 0.75, 1.9, 8.0, keyed=True, body=200),
+]
+USED = '[use]\nwindows = true\nhold = "1 s"'
+SIZE = 12
+
+
+def stage(folder: Path, size: int = SIZE, fleet: str = USED) -> Stage:
+    return Stage(folder, WORKS, 6, delay=0.01, gateways=size, fleet=fleet)
+
+
+def view(on: Stage, number: int) -> Report | None:
+    try:
+        return read_report(on.gateways[number].view_file.read_bytes())
+    except (OSError, msgspec.MsgspecError):
+        return None
+
+
+def standing(report: Report) -> dict[str, set[int]]:
+    found: dict[str, set[int]] = {}
+    for line in report.members:
+        found.setdefault(line.standing, set()).add(line.number)
+    return found
+
+
+def agreed(on: Stage, there: Iterable[int], among: Iterable[int] | None = None) -> Callable[[], bool]:
+    """Whether each of `among` holds just `there` for alive, and nobody for suspect."""
+    expected = set(there)
+    judges = expected if among is None else set(among)
+
+    def holds() -> bool:
+        for number in judges:
+            told = view(on, number)
+            if told is None:
+                return False
+            found = standing(told)
+            if found.get("alive", set()) != expected - {number} or found.get("suspect"):
+                return False
+        return True
+
+    return holds
+
+
+def changes(on: Stage, number: int) -> list[dict[str, Any]]:
+    """The view's history as the gateway wrote it."""
+    try:
+        lines = on.gateways[number].changes_file.read_text().splitlines()
+    except OSError:
+        return []
+    return [json.loads(line) for line in lines]
+
+
+def ended(on: Stage, numbers: Iterable[int], since: dict[int, int]) -> set[tuple[int, int]]:
+    """Who of these held whom for gone, after so many lines of its history."""
+    return {
+        (n, line["member"]) for n in numbers for line in changes(on, n)[since.get(n, 0) :]
+        if line["event"] == "gone"
+    }
+
+
+def marks(on: Stage, numbers: Iterable[int]) -> dict[int, int]:
+    return {n: len(changes(on, n)) for n in numbers}
+
+
+async def accounted(on: Stage, *loads: Any) -> None:
+    """Served + refused + failed = sent, by rule, and what hosts received is what was sent."""
+    for load in loads:
+        await load.settle()
+        whole = total(tally(load.records, WORKS).values())
+        assert whole.sent == whole.in_aim + whole.served + whole.refused + whole.failed
+        assert whole.failed == 0 and whole.in_aim > 0.9 * whole.sent
+    assert on.broken(*loads) == []
+
+
+@on_loop
+async def test_seven_in_ten_killed_at_once_under_load(tmp_path: Path) -> None:
+    async with stage(tmp_path) as on:
+        await until(agreed(on, range(SIZE)))
+        left = range(8, SIZE)
+        loads = [on.load(number) for number in left]
+        running = [asyncio.ensure_future(load.open_loop(steady(20.0, 8.0))) for load in loads]
+        for number in range(8):
+            on.gateways[number].kill()
+        await until(agreed(on, left))
+        # Their parts are those of four: each has another place, and windows follow.
+        await until(lambda: {view(on, n).part for n in left} == {(i, 4) for i in range(4)})  # type: ignore[union-attr]
+        await asyncio.gather(*running)
+        await accounted(on, *loads)
+        for number in range(8):
+            await on.gateways[number].stop()
+            await on.gateways[number].start()
+        await until(agreed(on, range(SIZE)))
+        # At once, where a share gets smaller: nobody divides by less than are there.
+        assert all(view(on, n).part[1] == SIZE for n in left)  # type: ignore[union-attr]
+
+
+@on_loop
+async def test_a_partition_and_its_heal(tmp_path: Path) -> None:
+    async with stage(tmp_path) as on:
+        await until(agreed(on, range(SIZE)))
+        one, other = list(range(5)), list(range(5, SIZE))
+        load = on.load(0)
+        running = asyncio.ensure_future(load.open_loop(steady(20.0, 8.0)))
+        await on.relay.apart(one, other)
+        await until(lambda: agreed(on, one)() and agreed(on, other)())
+        before = marks(on, range(SIZE))
+        await on.relay.rule()
+        await until(agreed(on, range(SIZE)))
+        await running
+        await accounted(on, load)
+        assert ended(on, range(SIZE), before) == set()
+
+
+@on_loop
+async def test_one_that_was_stopped_is_missed_and_blames_nobody(tmp_path: Path) -> None:
+    async with stage(tmp_path) as on:
+        await until(agreed(on, range(SIZE)))
+        others = set(range(SIZE)) - {4}
+        on.gateways[4].pause()
+        await until(agreed(on, others))
+        before = marks(on, range(SIZE))
+        on.gateways[4].go_on()
+        await until(agreed(on, range(SIZE)))
+        assert ended(on, range(SIZE), before) == set()
+        assert not [line for line in changes(on, 4)[before[4] :] if line["event"] == "suspect"]
+
+
+@pytest.mark.parametrize("hears", [True, False])
+@on_loop
+async def test_a_one_way_cut_leaves_the_one_in_doubt_of_itself(tmp_path: Path, hears: bool) -> None:
+    async with stage(tmp_path) as on:
+        await until(agreed(on, range(SIZE)))
+        others = set(range(SIZE)) - {3}
+        cut = {"sources": [3], "cut": True} if hears else {"targets": [3], "cut": True}
+        await on.relay.rule(cut)
+        await until(agreed(on, others))
+        await until(lambda: view(on, 3).state == "alone")  # type: ignore[union-attr]
+        assert ended(on, {3}, {}) == set()
+        assert view(on, 3).part == (3, SIZE)  # type: ignore[union-attr]
+        await on.relay.rule()
+        await until(agreed(on, range(SIZE)))
+
+
+@on_loop
+async def test_loss_doubles_and_late_datagrams_end_nobody(tmp_path: Path) -> None:
+    async with stage(tmp_path) as on:
+        await until(agreed(on, range(SIZE)))
+        before = marks(on, range(SIZE))
+        await on.relay.rule({"loss": 0.3, "doubled": 0.3, "delay_s": 0.002, "jitter_s": 0.05})
+        load = on.load(0)
+        await load.open_loop(steady(20.0, 6.0))
+        await accounted(on, load)
+        await on.relay.rule()
+        await until(agreed(on, range(SIZE)))
+        assert ended(on, range(SIZE), before) == set()
+
+
+@on_loop
+async def test_garbage_and_a_flood_cost_their_own_sender_only(tmp_path: Path) -> None:
+    async with stage(tmp_path, size=4) as on:
+        await until(agreed(on, range(4)))
+        for data in (b"\x00", b"\xff" * 256, b"\x9f" * 256, b"x" * 300, bytes(256)):
+            await on.relay.say(inject=[1, 0, data.hex()])
+        for _ in range(300):
+            await on.relay.say(inject=[1, 0, "00"])
+        await until(lambda: view(on, 0).dropped.get("malformed", 0) >= 4)  # type: ignore[union-attr]
+        told = view(on, 0)
+        assert told is not None and told.dropped["flood"] > 0 and told.dropped["too long"] == 1
+        load = on.load(0)
+        await load.open_loop(steady(20.0, 2.0))
+        await accounted(on, load)
+        await until(agreed(on, range(4)))
+
+
+@on_loop
+async def test_a_restart_from_nothing_under_another_number_of_members(tmp_path: Path) -> None:
+    """It ends by SIGTERM, so that nobody has to miss it, and comes back as if it had never been."""
+    async with stage(tmp_path, size=4) as on:
+        await until(agreed(on, range(4)))
+        on.gateways[2].drain()
+        await until(lambda: 2 in standing(view(on, 0)).get("left", set()))  # type: ignore[arg-type]
+        await until(agreed(on, {0, 1, 3}))
+        await on.gateways[2].stop()
+        await on.gateways[2].start()
+        await until(agreed(on, range(4)))
+        assert ended(on, range(4), {}) == set()
+
+
+@on_loop
+async def test_where_talk_is_forbidden_nothing_is_sent(tmp_path: Path) -> None:
+    on = Stage(tmp_path, WORKS, 2, gateways=2, fleet=USED, peers=False)
+    async with on:
+        load = on.load(0)
+        await load.open_loop(steady(20.0, 1.0))
+        await accounted(on, load)
+        assert (await on.relay.say(rules=[]))["counts"] == {}
+        assert view(on, 0) is None
--- /dev/null
+++ b/tests/fleet/test_settings.py
@@ -0,0 +1,106 @@
+"""The file: every field checked, off where the platform forbids talk, and the command that reads reports."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import time
+from pathlib import Path
+
+import pytest
+
+from quillroad.__main__ import main
+from quillroad.cli.fleet import differing
+from quillroad.config import Config, ConfigError, Peers
+from quillroad.fleet.report import Line, Report, write_report
+from quillroad.fleet.settings import load_fleet
+from tests.net import make_config
+
+ROOT = Path(__file__).parent.parent.parent
+ADDRESSES = tuple(("127.0.0.1", 7001 + n) for n in range(3))
+
+
+def config(peers: Peers | None = Peers(("127.0.0.1", 7000), ADDRESSES)) -> Config:  # noqa: B008
+    return dataclasses.replace(make_config(1), peers=peers)
+
+
+def file(folder: Path, text: str) -> Path:
+    path = folder / "fleet.toml"
+    path.write_text(text)
+    return path
+
+
+def test_the_file_that_is_shipped_is_the_defaults(tmp_path: Path) -> None:
+    shipped = load_fleet(ROOT / "deploy/fleet.toml", config())
+    usual = load_fleet(file(tmp_path, ""), config())
+    assert shipped is not None and usual is not None
+    assert dataclasses.replace(shipped, roster=usual.roster) == usual
+
+
+def test_where_talk_is_forbidden_there_are_no_settings(tmp_path: Path) -> None:
+    assert load_fleet(file(tmp_path, ""), config(None)) is None
+    own = '[members]\nlisten = "127.0.0.1:1"\naddresses = ["127.0.0.1:2", "127.0.0.1:3"]'
+    told = load_fleet(file(tmp_path, own), config(None))  # people's own network: theirs to say
+    assert told is not None and len(told.roster) == 2
+
+
+@pytest.mark.parametrize(("text", "field"), [
+    ("[talk]\nperiod = 5", "talk.period"),
+    ('[talk]\nanswer = "400 ms"', "talk.answer"),
+    ("[talk]\nbytes_per_second = 100", "talk.bytes_per_second"),
+    ("[talk]\nfleet_bytes_per_second = 2000", "talk.fleet_bytes_per_second"),
+    ('[use]\nwindow = true', "use"),
+    ('[use]\nhold = "0 s"', "use.hold"),
+    ('[report]\nfile = "/no/such/folder/view"', "report.file"),
+    ('[members]\nlisten = "here"', "members.listen"),
+    ('[members]\nlisten = "127.0.0.1:1"\naddresses = ["127.0.0.1:2"]', "members.addresses"),
+    ('[members]\nlisten = "127.0.0.1:1"\naddresses = ["127.0.0.1:2", "127.0.0.1:2"]', "members.addresses"),
+])
+def test_a_file_that_cannot_work_names_the_field(tmp_path: Path, text: str, field: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        load_fleet(file(tmp_path, text), config())
+    assert field.rpartition(".")[0] in str(caught.value) and field.rpartition(".")[2] in str(caught.value)
+
+
+def test_a_small_budget_has_longer_periods(tmp_path: Path) -> None:
+    few = load_fleet(file(tmp_path, "[talk]\nfleet_bytes_per_second = 3072"), config())
+    usual = load_fleet(file(tmp_path, ""), config())
+    assert few is not None and usual is not None
+    assert few.timing.most_bytes == 1024 and few.timing.period_s > usual.timing.period_s
+
+
+def report(number: int, state: str, *standings: str) -> Report:
+    others = [n for n in range(len(standings) + 1) if n != number]
+    lines = [Line(n, s, 1, 2.0, 0.1, "heard", n) for n, s in zip(others, standings, strict=True)]
+    return Report(f"n{number}", number, time.time(), 3, 1, state, 4.0, 2, (number, 3), True, lines, {}, 0, 0)
+
+
+def test_the_command_says_where_views_differ(tmp_path: Path, capsys: pytest.CaptureFixture[str],
+                                             monkeypatch: pytest.MonkeyPatch) -> None:
+    views = [report(0, "sound", "alive", "gone"), report(1, "sound", "alive", "alive")]
+    assert differing(views) == {2: {"gone": [0], "alive": [1]}}
+    for view in views:
+        (tmp_path / f"{view.number}.json").write_bytes(write_report(view))
+    names = [str(tmp_path / "0.json"), str(tmp_path / "1.json")]
+
+    def run(*arguments: str) -> tuple[int, str]:
+        monkeypatch.setattr("sys.argv", ["quillroad", "fleet", *arguments])
+        return main(), capsys.readouterr().out
+
+    status, text = run(*names)
+    assert status == 3 and "gateway 2" in text and "0: gone; 1: alive" in text
+    status, text = run("--json", *names)
+    assert json.loads(text)["differ"]["2"] == {"gone": [0], "alive": [1]}
+    assert run(names[1])[0] == 0
+    assert run(names[1], str(tmp_path / "none.json"))[0] == 1
+    (tmp_path / "2.json").write_bytes(write_report(report(2, "alone", "gone", "gone")))
+    assert run(str(tmp_path / "2.json"))[0] == 3
+
+
+def test_off_nothing_of_it_is_imported() -> None:
+    import subprocess  # noqa: PLC0415
+    import sys  # noqa: PLC0415
+
+    code = "import sys, quillroad.gateway, quillroad.start; print([m for m in sys.modules if 'fleet' in m])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT)
+    assert done.stdout.strip() == "[]"
--- a/tests/membership/test_pacing.py
+++ b/tests/membership/test_pacing.py
@@ -79,3 +79,18 @@
 
 def test_a_gateway_with_an_agent_of_its_own_waits_for_nobody() -> None:
     assert Pacing(1, 0, random.Random(1).random).start_s() == 0.0
+
+
+@given(st.integers(4, 60), st.integers(0, 2**32))
+def test_who_is_left_takes_the_rounds_of_those_who_are(left: int, seed: int) -> None:
+    """Seven in ten are gone: the rounds of those who stay are theirs alone, each with its own part."""
+    calls = []
+    for rank in range(left):
+        pacing = Pacing(200, 3 * rank, random.Random(seed + rank).random)
+        pacing.divide(rank, left)
+        calls.append(pacing.wait_s())
+    round_s = min(ROUND_S, left / RATE)
+    assert all(round_s * rank / left <= at <= round_s * (rank + 1) / left for rank, at in enumerate(calls))
+    alone = Pacing(200, 3, random.Random(seed).random)
+    alone.divide(0, 1)
+    assert alone.wait_s() <= FIRST_S
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -17,6 +17,7 @@
     Arrived,
     AttemptDone,
     Cancel,
+    Company,
     Departed,
     Effect,
     Fail,
@@ -891,3 +892,25 @@
             stage.done(request, Outcome.FULL, 1000)
         stage.pass_time(2_000_000)
     assert len(stage.sends) > 3 and stage.balancer.paused_until_us == 0
+
+
+@given(st.integers(1, 200), st.lists(st.integers(1, 200), max_size=6))
+def test_what_is_learned_of_the_whole_stays_as_others_come_and_go(told: int, live: list[int]) -> None:
+    module = balance.Balancer(settings(route(), balancers=told, number=told - 1), 1)
+    whole = module.limit * told
+    for balancers in live:
+        module.handle(0, [Company(balancers - 1, balancers)])
+        assert module.limit * balancers == pytest.approx(whole)
+    assert module.settings.balancers == told  # quotas and turns at cold servers stay by the told number
+
+
+def test_windows_follow_the_live_number_and_cold_turns_the_told_one() -> None:
+    servers = tuple(Server(n, started_us=1) for n in range(60))
+    module = balance.Balancer(settings(route(), balancers=40, number=39, cold_us=8_000_000), 1)
+    module.handle(20_000_000, [ServerList(ListKind.FULL, servers)])
+    before = module.window()
+    assert before is not None and len(before) <= 4
+    module.handle(20_000_000, [Company(3, 4)])
+    after = module.window()
+    assert after is None or len(after) >= 5 * len(before)  # four that are left of forty: ten times the part
+    assert (module.settings.number, module.settings.balancers) == (39, 40)
--- /dev/null
+++ b/tests/test_files.py
@@ -0,0 +1,54 @@
+"""Files for people: written off the loop, the newest state only, and bounded while the disk stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import threading
+from pathlib import Path
+
+import pytest
+
+from quillroad import files
+from quillroad.files import MOST_LINES, Writer
+from tests.net import on_loop, until
+
+
+@on_loop
+async def test_a_disk_that_stands_still_holds_nothing_up_and_costs_states_in_between(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    moves, written = threading.Event(), list[bytes]()
+
+    def slow(path: Path, data: bytes) -> None:
+        moves.wait()
+        written.append(data)
+
+    monkeypatch.setattr(files, "put", slow)
+    writer = Writer(asyncio.get_running_loop())
+    for number in range(1000):
+        writer.replace(tmp_path / "view", b"%d" % number)
+    for number in range(MOST_LINES + 5):
+        writer.append(tmp_path / "changes", f"line {number}")
+    assert writer.left_out == 5
+    moves.set()
+    await until(lambda: written[-1:] == [b"999"])
+    assert written == [b"0", b"999"]
+    await until((tmp_path / "changes").exists)
+    writer.append(tmp_path / "changes", "last")
+    writer.close()
+    await until(lambda: (tmp_path / "changes").read_text().endswith("last\n"))
+    assert len((tmp_path / "changes").read_text().splitlines()) == MOST_LINES + 1
+
+
+@on_loop
+async def test_a_folder_that_went_away_is_said_and_nothing_more(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    writer = Writer(asyncio.get_running_loop())
+    writer.replace(tmp_path / "gone" / "view", b"x")
+    await until(lambda: "cannot write" in caplog.text)
+    writer.replace(tmp_path / "view", b"x")
+    await until((tmp_path / "view").exists)
+    assert os.listdir(tmp_path) == ["view"]
+    writer.close()
