Fleet view: one member across an upgrade; its times and bytes beside SWIM and heartbeats

Measured: 3 processes, one upgraded under load: nobody held it for gone or doubled, every request accounted for; a second process under a number serves, says so and takes no part.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -4,13 +4,14 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from lab.net import World
 from quillroad.fleet.claims import Standing
 from quillroad.fleet.core import Core
 from quillroad.fleet.roster import Address, Roster
 from quillroad.fleet.timing import Timing
-from quillroad.fleet.view import Change
+from quillroad.fleet.view import Change, View
 
 BUFFERED = 200  # datagrams that a stopped process's socket holds: the kernel drops what comes then
 
@@ -19,12 +20,28 @@
     return (f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}", 7946)
 
 
+class Part(Protocol):
+    """What runs in a member: the fleet's own core, or another way that is weighed beside it."""
+
+    outbox: list[tuple[int, bytes]]
+    changes: list[Change]
+
+    @property
+    def view(self) -> View: ...
+
+    def arm(self, now: float) -> float: ...
+
+    def tick(self, now: float) -> None: ...
+
+    def receive(self, source: Address, data: bytes, now: float) -> None: ...
+
+
 class Member:
     """One process: its core, while it runs, and what the kernel holds for it."""
 
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet, self.number = fleet, number
-        self.core: Core | None = None
+        self.core: Part | None = None
         self.stopped = False
         self.lag: Callable[[], float] = lambda: 0.0  # seconds by which each of its steps comes late
         self.inbox: deque[tuple[Address, bytes]] = deque(maxlen=BUFFERED)
@@ -40,7 +57,7 @@
 
     def start(self, roster: Roster | None = None) -> None:
         world = self.fleet.world
-        self.core = Core(
+        self.core = self.fleet.make(
             roster or Roster(self.fleet.addresses, self.number), self.fleet.timing, world.now,
             world.random.random, world.random.getrandbits(32),
         )
@@ -96,7 +113,7 @@
         woken = self._woken
         self.fleet.world.at(self.core.arm(self.fleet.world.now) + self.lag(), lambda: self._tick(woken))
 
-    def _flush(self, core: Core) -> None:
+    def _flush(self, core: Part) -> None:
         sent, core.outbox = core.outbox, []
         for number, data in sent:
             self.bytes += len(data)
@@ -112,8 +129,10 @@
 class Fleet:
     """`size` members, none of them started."""
 
-    def __init__(self, world: World, size: int, timing: Timing | None = None) -> None:
-        self.world, self.timing = world, timing or Timing()
+    def __init__(
+        self, world: World, size: int, timing: Timing | None = None, make: Callable[..., Part] = Core
+    ) -> None:
+        self.world, self.timing, self.make = world, timing or Timing(), make
         self.addresses = [address(n) for n in range(size)]
         self.members = [Member(self, n) for n in range(size)]
         self.twins: dict[int, Member] = {}  # second processes under a number: either may get what comes
--- /dev/null
+++ b/lab/heartbeats.py
@@ -0,0 +1,59 @@
+"""Heartbeats from all to all, to measure beside: who was not heard for five periods counts as gone."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from immutables import Map
+
+from quillroad.fleet.claims import Standing
+from quillroad.fleet.condition import Self
+from quillroad.fleet.roster import Address, Roster
+from quillroad.fleet.timing import Timing
+from quillroad.fleet.view import Change, Seen, View
+from quillroad.fleet.wire import VERSION, Datagram, Kind, decode, encode
+
+MISSED = 5
+
+
+class Heartbeats:
+    """One member, with the datagrams of the fleet's own wire and none of its budget."""
+
+    def __init__(
+        self, roster: Roster, timing: Timing, now: float, draw: Callable[[], float], life: int
+    ) -> None:
+        self._roster, self._period_s, self._life = roster, 2 * timing.period_s, life
+        self.outbox: list[tuple[int, bytes]] = []
+        self.changes: list[Change] = []
+        self._heard: dict[int, float] = {}
+        others = (n for n in range(len(roster)) if n != roster.number)
+        self._members = Map((n, Seen(Standing.UNKNOWN, 0, now, "roster", n)) for n in others)
+        self._next = now + draw() * self._period_s
+
+    @property
+    def view(self) -> View:
+        return View(0, self._roster.number, 1, Self.SOUND, 0.0, self._members)
+
+    def arm(self, now: float) -> float:
+        return max(now, self._next)
+
+    def tick(self, now: float) -> None:
+        if now < self._next:
+            return
+        self._next += self._period_s
+        data = encode(Datagram(VERSION, self._roster.number, self._life, 1, Kind.GOSSIP, 0, 0))
+        self.outbox += [(n, data) for n in self._members]
+        for number, at in list(self._heard.items()):
+            if now - at > MISSED * self._period_s:
+                del self._heard[number]
+                self._set(number, Standing.GONE, now)
+
+    def receive(self, source: Address, data: bytes, now: float) -> None:
+        number = decode(data).number
+        self._heard[number] = now
+        if self._members[number].standing is not Standing.ALIVE:
+            self._set(number, Standing.ALIVE, now)
+
+    def _set(self, number: int, standing: Standing, now: float) -> None:
+        self._members = self._members.set(number, Seen(standing, 1, now, "heard", number))
+        self.changes.append(Change(now, number, standing.name.lower(), 1, "heard", number))
--- a/quillroad/fleet/daemon.py
+++ b/quillroad/fleet/daemon.py
@@ -30,7 +30,7 @@
 log = logging.getLogger("quillroad.fleet")
 
 MOST_READ = 64  # datagrams in one turn of the loop: a flood has no more of it than that
-TAKEN_S = 0.5  # until an address that another process holds is tried again
+TAKEN_S = 0.2  # until an address that another process holds is tried again
 TOLD_S = 10.0  # between two lines about it
 
 
@@ -63,6 +63,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._reporter: asyncio.TimerHandle | None = None
         self._complained = float("-inf")
+        self.serves: Callable[[], bool] = lambda: True  # of two processes only the one that serves takes part
         self._files = Writer(loop)
         self._events: Any = None  # structlog's logger; None: changes are written nowhere
         if self.settings is None:
@@ -84,6 +85,9 @@
         settings = self.settings
         assert settings is not None
         self._timer = None
+        if not self.serves():
+            self._timer = self._loop.call_later(TAKEN_S, self._try)
+            return
         opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         opened.setblocking(False)
         try:
@@ -129,14 +133,7 @@
     def stop(self) -> None:
         """Take no part any more; without `leave` before it others take it for crashed, or for the process
         that comes next under its number."""
-        for timer in (self._timer, self._reporter):
-            if timer is not None:
-                timer.cancel()
-        self._timer = self._reporter = None
-        if self._socket is not None:
-            self._loop.remove_reader(self._socket)
-            self._socket.close()
-            self._socket = None
+        self._close()
         self._files.close()
         self.core = None
 
@@ -163,10 +160,29 @@
                 continue  # word that an earlier datagram found nobody
             core.receive((source[0], source[1]), data, monotonic())
 
+    def _step_aside(self) -> None:
+        """The other process of this gateway takes part in its place: the same member, with a new life."""
+        self._close()
+        self.core = None
+        self._timer = self._loop.call_later(TAKEN_S, self._try)
+
+    def _close(self) -> None:
+        for timer in (self._timer, self._reporter):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._reporter = None
+        if self._socket is not None:
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
     def _due(self) -> None:
         core, self._timer = self.core, None
         if core is None:
             return
+        if not self.serves():
+            self._step_aside()
+            return
         try:
             self._read()  # what lies here may be what is missed: a process that stood still has both at once
             core.tick(monotonic())
--- a/quillroad/upgrade/seated.py
+++ b/quillroad/upgrade/seated.py
@@ -143,6 +143,8 @@
             gateway.zones.serves = self._serves
         if gateway.registrar is not None:
             gateway.registrar.serves = self._serves
+        if gateway.fleet is not None:
+            gateway.fleet.serves = self._serves
         gateway.source.begin(config)
         if gateway.admin is not None:
             gateway.admin.on_change = self._by_hand
--- a/rig/gateway.py
+++ b/rig/gateway.py
@@ -134,6 +134,10 @@
     def changes_file(self) -> Path:
         return self._folder / "changes.jsonl"
 
+    def told(self, name: str) -> Any:
+        """What its configuration file says."""
+        return self._data[name]
+
     def reconfigure(self, **changes: Any) -> Path:
         """Write its configuration file, with changes; it reads it at its start and by SIGHUP."""
         self._data |= changes
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -25,7 +25,7 @@
 
 def core(fleet: Fleet, number: int) -> Core:
     found = fleet.members[number].core
-    assert found is not None
+    assert isinstance(found, Core)
     return found
 
 
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -15,6 +15,7 @@
 
 from quillroad.fleet.report import Report, read_report
 from rig.account import Work, tally, total
+from rig.gateway import GatewayProcess, settings
 from rig.schedule import steady
 from rig.stage import Stage
 from tests.net import on_loop, until
@@ -24,6 +25,19 @@
     Work("seat-checkout", 0.75, 1.9, 8.0, keyed=True, body=200),
 ]
 USED = '[use]\nwindows = true\nhold = "1 s"'
+UPGRADES = """
+[times]
+start = "4 s"
+prepare = "2 s"
+switch = "1 s"
+retire = "4 s"
+[canary]
+time = "400 ms"
+silence = "500 ms"
+least = 5
+[limits]
+memory_mb = 250.0
+"""
 SIZE = 12
 
 
@@ -216,3 +230,40 @@
         await accounted(on, load)
         assert (await on.relay.say(rules=[]))["counts"] == {}
         assert view(on, 0) is None
+
+
+@on_loop
+async def test_an_upgrade_is_one_member_all_along(tmp_path: Path) -> None:
+    async with Stage(
+        tmp_path, WORKS, 6, delay=0.01, gateways=3, fleet=USED, upgrades=UPGRADES
+    ) as on:
+        await until(agreed(on, range(3)))
+        load = on.load(0)
+        running = asyncio.ensure_future(load.open_loop(steady(40.0, 6.0)))
+        assert (await on.gateways[0].say("upgrade"))[-1] == "done"
+        await running
+        await accounted(on, load)
+        await until(agreed(on, range(3)))
+        # Neither missed, nor taken for two under one number.
+        told = {line["event"] for n in (1, 2) for line in changes(on, n) if line["member"] == 0}
+        assert told <= {"alive", "suspect"}
+        assert not [line for line in changes(on, 0) if line["event"] == "doubled"]
+        # Two processes took part, one after the other: each heard of 1 anew.
+        assert sum(line["event"] == "alive" and line["member"] == 1 for line in changes(on, 0)) >= 2
+
+
+@on_loop
+async def test_a_second_process_under_one_number_takes_no_part(tmp_path: Path) -> None:
+    """By mistake, on one machine: it serves, says so, and the view of the others stays as it was."""
+    async with stage(tmp_path, size=3) as on:
+        await until(agreed(on, range(3)))
+        twin = GatewayProcess(tmp_path, on.discovery.port, settings(WORKS, peers=True))
+        twin.reconfigure(**{name: on.gateways[1].told(name) for name in ("peer_listen", "peers")})
+        twin.fleet = "[use]\nwindows = true"
+        await twin.start()
+        load = on.load(0)
+        await load.open_loop(steady(20.0, 1.0))
+        await accounted(on, load)
+        assert "another process holds it" in await twin.stop()
+        await until(agreed(on, range(3)))
+        assert ended(on, range(3), {}) == set()
