--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -840,6 +840,7 @@
     assert any(sent[0] < 130 for sent in stage.sends.values())
 
 
+@pytest.mark.plain  # replaces a method
 def test_what_would_wait_in_vain_is_refused_at_once() -> None:
     """join+mass: 2,764 requests a second were held for half a second and then refused. Nobody is served less
     for it."""
