--- a/bench/fleet_view.py
+++ b/bench/fleet_view.py
@@ -148,7 +148,8 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot  # noqa: PLC0415
 
-    events = list(EVENTS)
+    every = [by_event for by_way in results.values() for by_event in by_way.values()]
+    events = [event for event in EVENTS if all(event in by_event for by_event in every)]
     figure, axes = pyplot.subplots(1, len(results), figsize=(6 * len(results), 4), squeeze=False)
     for axis, (size, by_way) in zip(axes[0], results.items(), strict=True):
         for i, (way, by_event) in enumerate(by_way.items()):
