A table tells no incarnation of members of whom nothing is known

Seen: of a member never heard of a table named incarnation 0 as an exception, 2 or 3 bytes each, and the reader's answer 'unknown' with the usual incarnation counted as newer than what it held; the test left those members out.

--- a/quillroad/fleet/claims.py
+++ b/quillroad/fleet/claims.py
@@ -119,15 +119,16 @@
                 yield range(i * CHUNK, min((i + 1) * CHUNK, len(self._claims)))
 
     def packed(self, members: range) -> tuple[bytes, int, list[int]]:
-        """Half a byte for each of these members, the incarnation that most of them have, and for each of the
-        others how far on it stands and its incarnation."""
+        """Half a byte for each of these members, the incarnation that most of those have of whom
+        anything is known, and for each of the others how far on it stands and its incarnation."""
         claims = self._claims[members.start:members.stop]
         codes = bytearray(-(-len(claims) // 2))
-        base = Counter(claim.incarnation for claim in claims).most_common(1)[0][0]
+        known = Counter(claim.incarnation for claim in claims if claim != NOTHING)
+        base = known.most_common(1)[0][0] if known else 0
         others: list[int] = []
         for i, claim in enumerate(claims):
             codes[i >> 1] |= _code(claim) << 4 * (i & 1)
-            if claim.incarnation != base:
+            if claim.incarnation != base and claim != NOTHING:
                 others += (i, claim.incarnation)
         return bytes(codes), base, others
 
