--- a/quillroad/config/model.py
+++ b/quillroad/config/model.py
@@ -86,10 +86,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Peers:
-    """Where this gateway hears others, and the address of each by its number, its own among them."""
+    """Where this gateway hears others, the address of each by its number, its own among them, and the one at
+    which a datagram reaches all, if there is one."""
 
     listen: Address
     addresses: tuple[Address, ...]
+    everyone: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/quillroad/config/platform.py
+++ b/quillroad/config/platform.py
@@ -55,7 +55,8 @@
 def _peers(data: Mapping[str, Any]) -> Peers:
     told = _part(data, "peers", list, "peers", [])
     addresses = tuple(read_address(address, f"peers[{i}]") for i, address in enumerate(told))
-    return Peers(read_address(data["peer_listen"], "peer_listen"), addresses)
+    everyone = read_address(data["peers_all"], "peers_all") if data.get("peers_all") else None
+    return Peers(read_address(data["peer_listen"], "peer_listen"), addresses, everyone)
 
 
 def _names(data: Mapping[str, Any], key: str) -> tuple[str, ...]:
@@ -123,6 +124,6 @@
 
 def changed_fields(old: Config, new: Config) -> list[str]:
     """What differs and a reload does not take over. Seed and known list are for a start alone."""
-    kept = {"discovery", "hosts", "known", "seed", "peers"}
+    kept = {"discovery", "hosts", "known", "seed", "peers", "peers_all"}
     names = [field.name for field in fields(Config) if field.name not in kept]
     return [name for name in names if getattr(old, name) != getattr(new, name)]
--- a/quillroad/fleet/condition.py
+++ b/quillroad/fleet/condition.py
@@ -10,6 +10,8 @@
 
 WORST = 8  # of the multiplier (Lifeguard)
 SMOOTH = 0.05  # weight of the newest probe in `lossy`: ten seconds of probes
+BRISK = 0.2  # and in `brisk`
+USUAL = 0.15  # of `lossy`: 0.1 at 5% loss, 0.5 at 30%
 STOOD_S = 2.0  # longer than that in one step is no load, but a stop
 FEW_PROBES = 3  # without an answer, on end: the next goes to whom was heard last
 TWIN_S = 30.0  # for which word counts that two processes speak under this number
@@ -39,6 +41,7 @@
         self._witnesses: dict[int, float] = {}
         self.score = 0  # 0 is well; times and waits grow with it
         self.lossy = 0.0  # part of the answered probes that took more than one question, smoothed
+        self.brisk = 0.0  # the same, sooner and less certain
 
     @property
     def stretch(self) -> int:
@@ -64,6 +67,7 @@
         if answered:
             self._answered, self._unanswered = now, 0
             self.lossy += (helped - self.lossy) * SMOOTH
+            self.brisk += (helped - self.brisk) * BRISK
             if not helped:
                 self.score = max(0, self.score - 1)
         else:
@@ -82,6 +86,21 @@
         """Another gateway hears two processes under this number."""
         self._witnesses[witness] = now
 
+    @property
+    def lossy_stretch(self) -> float:
+        """What waits for an answer are to be multiplied with, where more datagrams get lost than usual."""
+        return 1.0 + 2.0 * max(0.0, self.lossy - USUAL) if self._lifeguard else 1.0
+
+    @property
+    def refuting(self) -> float:
+        """What waits for a refutation are to be multiplied with, which has a longer way."""
+        lossy = max(self.lossy, self.brisk) if self.lossy > USUAL else self.lossy
+        return 1.0 + 2.0 * lossy if self._lifeguard else 1.0
+
+    def answered_since(self, at: float) -> bool:
+        """Whether somebody has answered a probe since then."""
+        return self._answered >= at
+
     @property
     def doubtful(self) -> bool:
         """Whether the next probe should go to somebody who was just heard, to see who is at fault."""
--- a/quillroad/fleet/core.py
+++ b/quillroad/fleet/core.py
@@ -24,6 +24,8 @@
 from quillroad.fleet.news import Queue
 from quillroad.fleet.roster import Address, Roster
 from quillroad.fleet.suspicion import Suspicion, shortest_s
+from quillroad.fleet.sweep import PART as SWEEPING
+from quillroad.fleet.sweep import Sweep
 from quillroad.fleet.timing import Timing
 from quillroad.fleet.view import Change, Seen, View
 from quillroad.fleet.wire import (
@@ -44,10 +46,18 @@
 BULK = 16  # news from which on a part of the table is shorter
 LATER = 0.8  # part of the budget for what can wait: with 0.6 seven in ten of 200 took 11.6 s, with 0.8 8.4
 MOST_SUMS = 40  # digests of parts in one datagram: 5 bytes each, and a header
+EVERYONE = -1  # in the outbox: the address at which all are reached
+ALOUD_S, ALOUD_FLEET_S = 0.1, 0.002  # between two datagrams to all, and of the whole fleet: 500 a second
+HAIL_S = 1.0  # between two tables of the whole fleet for those that are gone
 MOST_PROBES = 8  # on their way at once
+LIGHTS = 3  # questions of a light probe: with 2 one in 100 at 5% loss was wrong, and heals took 8 s
+LIGHT_LOSSY = 0.35  # lately, from where on a light probe says nothing: at 30% loss one in eight is wrong
+MOST_LIGHT = 40  # light probes on their way at once
 TURNS, LATE_S = 4, 2.0  # changes of a life, over longer than a datagram is late: two processes
 WITNESSES = 2  # of these: one may lie
 HEARSAY, MISLED_S = 3.0, 10.0  # times the shortest wait, for so long after word that was wrong
+HASTE = 2.0  # times the shortest wait is the longest where many are suspected and others answer
+CERTAIN = 0.5  # part of the shortest wait that is left for one suspected before, and ended by another
 LOSSY = 0.25  # of answered probes: 0.1 at 5% loss, 0.5 at 30%
 MANY = 3  # suspects at once that are no accident of the network
 PROBERS = 2  # gateways that probe a suspect in each `gossip_s`
@@ -64,6 +74,7 @@
     help: float  # when others are asked
     ends: float
     doubted: bool  # of a suspect: its silence says nothing of this gateway
+    light: bool = False  # asked three times in a short while, with no help and no news
     repeated: bool = False
     nacked: bool = False  # a helper was heard meanwhile
 
@@ -132,9 +143,12 @@
         self._next_gossip = now + draw() * timing.gossip_s
         self._next_gone = now
         self._next_sync = now
+        self._next_aloud = now
+        self._aloud: set[int] = set()  # of whom this gateway has something to say to all
+        self._sweep = Sweep()
         self._armed = now
         self.claims.merge(self.number, Claim(1, Standing.ALIVE))
-        self._queue.put(self.number)
+        self._own_news(self.number)
 
     # What the caller asks.
 
@@ -161,6 +175,10 @@
         times = [self._next_probe, self._next_gone]
         if len(self._queue) or self._suspicions:
             times.append(self._next_gossip)
+        if self._sweep.lasts(now):
+            times.append(self._sweep.next)
+        if self._aloud:
+            times.append(self._next_aloud)
         times += (probe.due for probe in self._probes.values())
         times += (min(h.nack, h.ends) for h in self._helps.values())
         times += (s.ends for s in self._suspicions.values())
@@ -186,10 +204,14 @@
             self._ask_gone(now)
         if self._next_gossip <= now and (len(self._queue) or self._suspicions):
             self._next_gossip = now + self.timing.gossip_s
-            if len(self._queue):
-                self._gossip(now)
             if self._suspicions:
                 self._probe_more(now)
+            if len(self._queue):
+                self._gossip(now)
+        if self._aloud and self._next_aloud <= now:
+            self._say_aloud(now)
+        if self._sweep.due(now):
+            self._ask_lightly(now)
         self._judge_self(now)
 
     def receive(self, source: Address, data: bytes, now: float) -> None:
@@ -231,8 +253,10 @@
         """Say that this gateway goes, to as many as the budget allows; nothing is probed from now on."""
         self._left = True
         self.claims.merge(self.number, Claim(self.incarnation, Standing.LEFT))
-        self._queue.put(self.number)
+        self._own_news(self.number)
         self._probes.clear()
+        if self._aloud:
+            self._say_aloud(now)
         for number in self._some(len(self.roster), self._there()):
             if not self._send(number, Kind.GOSSIP, now, part=1.0):
                 break
@@ -253,6 +277,7 @@
             for kept in (self._suspicions, self._heard, self._heads, self._lives, self._inward):
                 kept.pop(number, None)
             self._queue.drop(number)
+            self._aloud.discard(number)
             # Else its table would differ for ever from that of one that starts with the shorter roster.
             self.claims.forget(number)
             self._touch(now)
@@ -266,14 +291,15 @@
         self._condition.heard(now)
         self._heard[number], self._heads[number] = now, head.incarnation
         self._hear_life(number, head.life, now)
-        if number in self._suspicions and self._suspicions[number].hearsay:
+        held = self._suspicions.get(number)
+        if held.hearsay if held is not None else self._members[number].standing is Standing.GONE:
             self._mislead(now)
         self._claim(number, Claim(head.incarnation, Standing.ALIVE), number, "heard", now)
 
     def _mislead(self, now: float) -> None:
-        """One that was said to be gone, with no suspicion before, speaks: after a partition each side says so
-        of the whole other, and so many refutations take longer. 200 members healed, 1.7 s for each: 7,427
-        times a sound one was held for gone. Where many are gone indeed nobody of them speaks."""
+        """One that counts as gone, or was said to be with no suspicion before, speaks: after a partition each
+        side says so of the whole other, and so many refutations take longer. 200 members healed, 1.7 s for
+        each: 7,427 times a sound one was held for gone. Where many are gone indeed nobody of them speaks."""
         if now - self._misled >= MISLED_S:
             for held in self._suspicions.values():
                 if held.hearsay:
@@ -319,7 +345,7 @@
         self._refuted = now
         self.incarnation = claim.incarnation + 1
         self.claims.merge(self.number, Claim(self.incarnation, Standing.ALIVE))
-        self._queue.put(self.number)
+        self._own_news(self.number)
         cause = claim.standing.name.lower()
         self._note(Change(now, self.number, "refuted", self.incarnation, cause, self.number), now)
 
@@ -327,7 +353,10 @@
         """A claim of another member: into the table, and on to what is held of it here."""
         if not self.claims.merge(number, claim):
             return
-        self._queue.put(number)
+        if how == "silent":
+            self._own_news(number)
+        else:
+            self._queue.put(number)
         seen = self._members[number]
         standing = claim.standing
         # Of one that this gateway has not heard of yet, too: who says so may have been cut off itself.
@@ -343,18 +372,27 @@
         certain = claim.standing is Standing.GONE
         if held is None or held.incarnation != claim.incarnation:
             shortest = shortest_s(len(self._there()) + 1, self.timing.period_s, self.timing.suspicion_rounds)
-            if self.timing.lifeguard:
-                shortest *= 1.0 + 2.0 * self._condition.lossy  # a refutation takes as much longer
+            scale = self._condition.refuting  # a refutation takes as much longer
+            shortest *= scale
             hearsay = certain and seen.standing is Standing.ALIVE
             if hearsay and now - self._misled < MISLED_S:
                 shortest *= HEARSAY
             most = self.timing.suspicion_most if self.timing.lifeguard else 1.0
+            if self._hurried and now - self._misled >= MISLED_S:
+                most = min(most, HASTE)
             held = Suspicion(
-                claim.incarnation, now, shortest, most * shortest, claim.slots, how != "silent", hearsay
+                claim.incarnation, now, shortest, most * shortest, claim.slots, how != "silent", scale,
+                hearsay,
             )
             self._suspicions[number] = held
+            # What is said to be gone others have asked: after a partition that is half of the fleet.
+            if not certain and self._hurried:
+                self._sweep.begin(now)
         held.slots |= claim.slots
         if certain:  # somebody has waited already: here it is only to have its time to refute
+            # Not so after a partition: what the other side suspected when it ended is certain there soon.
+            if not held.hearsay and self._condition.lossy < LOSSY and now - self._misled >= MISLED_S:
+                held.shortest_s *= CERTAIN
             held.longest_s = held.shortest_s
         if seen.standing is not Standing.SUSPECT or seen.incarnation != claim.incarnation:
             self._set(number, Seen(Standing.SUSPECT, claim.incarnation, now, how, by), now)
@@ -412,19 +450,55 @@
             self._order = self._some(len(self.roster), self._members)
         return None
 
-    def _ping(self, number: int, now: float) -> bool:
+    def _ping(
+        self, number: int, now: float, part: float = 1.0, news: tuple[News, ...] | None = None
+    ) -> bool:
         self._sequence = (self._sequence + 1) & 0xFFFFFFFF
-        return self._send(number, Kind.PING, now, sequence=self._sequence)
+        return self._send(number, Kind.PING, now, sequence=self._sequence, part=part, news=news)
 
     def _begin_probe(self, number: int | None, now: float) -> None:
-        if number is None or len(self._probes) >= MOST_PROBES or not self._ping(number, now):
+        if number is not None and self._hurried:  # help for each would take the budget of ten seconds
+            self._begin_light(number, now, 1.0, doubted=number in self._suspicions)
+        elif number is not None:
+            self._begin_full(number, now)
+
+    def _begin_full(self, number: int, now: float) -> None:
+        full = sum(not probe.light for probe in self._probes.values())
+        if full >= MOST_PROBES or not self._ping(number, now):
             return  # what was not asked cannot be missed
-        timing, stretch = self.timing, self._condition.stretch
+        timing, stretch = self.timing, self._condition.stretch * self._condition.lossy_stretch
         self._probes[self._sequence] = _Probe(
             number, now + timing.again_s, now + timing.answer_s * stretch,
             now + 0.85 * timing.period_s * stretch, number in self._suspicions,
         )
 
+    def _ask_lightly(self, now: float) -> None:
+        """A step of a sweep. Only while others answer: one that is cut off would come back with a suspicion
+        of everybody."""
+        share = self._sweep.step(now)
+        period_s = self.timing.period_s
+        if not self._judging(now) or not self._condition.answered_since(now - 2 * period_s):
+            return
+        asked = {probe.number for probe in self._probes.values()}
+        own = slot(self.number)
+        asked |= {n for n, held in self._suspicions.items() if held.slots & own}
+        since = now - period_s
+        unheard = [n for n in self._there() if self._heard.get(n, since) <= since and n not in asked]
+        for number in self._some(int(share + self._draw()), unheard):
+            if not self._begin_light(number, now, SWEEPING, doubted=True):
+                return
+
+    def _begin_light(self, number: int, now: float, part: float, doubted: bool) -> bool:
+        """Ask one that may be gone, without help; with what is said of it, which only it can refute."""
+        news = (self._news(number),) if number in self._suspicions else ()
+        lights = sum(probe.light for probe in self._probes.values())
+        if lights >= MOST_LIGHT or not self._ping(number, now, part, news):
+            return False
+        light_s = self.timing.light_s
+        ends = now + LIGHTS * light_s * self._condition.stretch
+        self._probes[self._sequence] = _Probe(number, now + light_s, ends, ends, doubted, light=True)
+        return True
+
     def _probe_more(self, now: float) -> None:
         """Probe one whom others suspect: of the whole fleet a few do so, and soon, where waiting for its turn
         with enough of them would take longer than the suspicion. Where many are suspected more may be gone
@@ -432,13 +506,13 @@
         if not self._judging(now):
             return
         own = slot(self.number)
-        open_ = [n for n, s in self._suspicions.items() if not s.slots & own]
+        open_ = {n: s.slots.bit_count() for n, s in self._suspicions.items() if not s.slots & own}
         if open_ and self._draw() < PROBERS * len(open_) / len(self._there()):
-            number = self._some(1, open_)[0]
+            # The fewer have seen it silent, the longer it lasts until that is certain.
+            fewest = min(open_.values())
+            number = self._some(1, [n for n, seen in open_.items() if seen == fewest])[0]
             if all(probe.number != number for probe in self._probes.values()):
                 self._begin_probe(number, now)
-        if self._hurried:
-            self._begin_probe(self._next_number(now), now)
 
     def _step_probes(self, now: float) -> None:
         for sequence, probe in list(self._probes.items()):
@@ -449,13 +523,16 @@
             if probe.help <= now:
                 probe = probe._replace(help=probe.ends)  # noqa: PLW2901
                 others = [n for n in self._there() if n != probe.number and n not in self._suspicions]
-                helpers = 1 if probe.doubted or self._hurried else self.timing.helpers
-                for number in self._some(helpers, others):
+                helpers = 1 if probe.doubted else self.timing.helpers
+                for number in self._some(helpers, self._lately(others, now)):
                     self._send(number, Kind.ASK, now, sequence=sequence, about=probe.number)
             if probe.again <= now:
-                again = probe.ends if self._hurried else now + self.timing.again_s
+                again = now + (self.timing.light_s if probe.light else self.timing.again_s)
                 probe = probe._replace(again=again, repeated=True)  # noqa: PLW2901
-                self._send(probe.number, Kind.PING, now, sequence=sequence)
+                news = None
+                if probe.light:
+                    news = (self._news(probe.number),) if probe.number in self._suspicions else ()
+                self._send(probe.number, Kind.PING, now, sequence=sequence, news=news)
             self._probes[sequence] = probe
 
     @property
@@ -465,8 +542,13 @@
         return len(self._suspicions) >= MANY and self._condition.lossy < LOSSY
 
     def _unanswered(self, probe: _Probe, now: float) -> None:
+        if probe.light:
+            self._sweep.ended(answered=False)
+        if probe.light and self._condition.brisk >= LIGHT_LOSSY:
+            self._begin_full(probe.number, now)
+            return
         if not probe.doubted:
-            self._condition.probed(False, now, probe.nacked)
+            self._condition.probed(False, now, probe.nacked or probe.light)  # nobody was asked for help
         self._judge_self(now)
         claim = self.claims[probe.number]
         if claim.standing in (Standing.GONE, Standing.LEFT) or not self._judging(now):
@@ -487,6 +569,8 @@
         probe = self._probes.get(datagram.sequence)
         if probe is not None and probe.number in (datagram.number, datagram.about):
             del self._probes[datagram.sequence]
+            if probe.light:
+                self._sweep.ended(answered=True)
             self._condition.probed(True, now, probe.repeated)
             self._heard_by_others(now)
         help_ = self._helps.get(datagram.sequence)
@@ -524,6 +608,11 @@
         interval = min(timing.gone_most_s, max(timing.period_s, there * timing.gone_fleet_s))
         self._next_gone = now + interval * (0.5 + self._draw())
         away = (Standing.GONE, Standing.LEFT)
+        if self.roster.everyone is not None and self._draw() * there * HAIL_S < interval:
+            # All who are gone read in it that they are said to be, and say otherwise.
+            for number in self._some(1, (n for n, seen in self._members.items() if seen.standing in away)):
+                self._send_table(EVERYONE, number, now)
+            return
         for number in self._some(1, (n for n, seen in self._members.items() if seen.standing in away)):
             self._ping(number, now)
 
@@ -533,17 +622,21 @@
         ending = [n for n, s in self._suspicions.items() if s.ends <= now]
         if not ending:
             return
-        judging = self._judging(now)
+        # Where waits are short one that was just cut off has not had the time to notice.
+        answered = not self._hurried or self._condition.answered_since(now - 2 * self.timing.period_s)
+        judging = answered and self._judging(now)
         for number in ending:
             held = self._suspicions[number]
             if not judging or not held.told:
                 # Whether it is heard itself this gateway does not know: it waits until somebody answers.
                 held.began += self.timing.period_s
                 continue
+            if held.scaled(self._condition.refuting):
+                continue
             del self._suspicions[number]
             claim = Claim(held.incarnation, Standing.GONE)
             if self.claims.merge(number, claim):
-                self._queue.put(number)
+                self._own_news(number)
             self._set(number, Seen(Standing.GONE, held.incarnation, now, "timer", self.number), now)
 
     def _heard_by_others(self, now: float) -> None:
@@ -563,18 +656,41 @@
         for held in self._suspicions.values():
             held.began = now
         self._queue.clear()
-        self._queue.put(self.number)
+        self._aloud.clear()
+        self._own_news(self.number)
         self._touch(now)
 
     # Rumours and tables.
 
+    def _own_news(self, number: int) -> None:
+        """What others can have from this gateway only."""
+        self._queue.put(number)
+        if self.roster.everyone is not None:
+            self._aloud.add(number)
+
+    def _say_aloud(self, now: float) -> None:
+        """Tell all at once what others can have from this gateway only; rumours go on beside it, for whom it
+        does not reach."""
+        interval = max(ALOUD_S, (len(self._there()) + 1) * ALOUD_FLEET_S)
+        self._next_aloud = now + interval * (0.5 + self._draw())
+        if len(self._aloud) <= BULK:
+            told = list(self._aloud)
+            if self._send(EVERYONE, Kind.GOSSIP, now, part=LATER, news=tuple(self._news(n) for n in told)):
+                self._aloud.clear()
+            return
+        first = min(self._aloud)
+        stop = self._send_table(EVERYONE, first, now)
+        self._aloud -= set(range(first, stop))
+
     def _gossip(self, now: float) -> None:
-        for number in self._some(self.timing.fanout, self._listeners(now)):
+        part = self._sweep.telling(now, LATER)
+        many = len(self._queue) > BULK and self.roster.everyone is not None
+        for number in self._some(1 if many else self.timing.fanout, self._listeners(now)):
             if len(self._queue) > BULK:
                 # Much has happened at once: a part of the table tells more in as many bytes.
-                sent = self._send_table(number, self._queue.pick(1)[0] // CHUNK * CHUNK, now) > 0
+                sent = self._send_table(number, self._queue.pick(1)[0], now, part) > 0
             else:
-                sent = self._send(number, Kind.GOSSIP, now, part=LATER)
+                sent = self._send(number, Kind.GOSSIP, now, part=part)
             if not sent:
                 return
 
@@ -584,9 +700,13 @@
         sound = [n for n in self._there() if n not in self._suspicions]
         if len(self._suspicions) < MANY:
             return sound
-        since = now - self.timing.alone_s
-        heard = [n for n in sound if self._heard.get(n, since) > since]
-        return heard if len(heard) > self.timing.fanout else sound
+        return self._lately(sound, now)
+
+    def _lately(self, numbers: list[int], now: float) -> list[int]:
+        """Those of these that were heard within two periods; all where that are few."""
+        since = now - 2 * self.timing.period_s
+        heard = [n for n in numbers if self._heard.get(n, since) > since]
+        return heard if len(heard) > self.timing.fanout else numbers
 
     def _compare(self, datagram: Datagram, now: float) -> None:
         if datagram.digest == self.claims.digest:
@@ -611,18 +731,20 @@
                 if not done:
                     return
 
-    def _send_table(self, number: int, first: int, now: float) -> int:
-        """What is held of the members from `first` on, as many as go into one datagram; returns the number
-        after the last, 0 where the budget is spent."""
+    def _send_table(self, number: int, about: int, now: float, part: float = LATER) -> int:
+        """What is held of the members round `about`, as many as go into one datagram, with as many behind it
+        as before it left out; returns the number after the last, 0 where the budget is spent."""
+        first = min(about, max(0, len(self.claims) - MOST_TOLD)) // CHUNK * CHUNK
         stop = min(len(self.claims), first + MOST_TOLD)
         while True:
             codes, base, others = self.claims.packed(range(first, stop))
             # With the largest head 60 bytes, and what differs 7 for each.
             if len(codes) + 7 * len(others) // 2 <= MOST_BYTES - 60 or stop - first <= CHUNK:
                 break
-            stop = first + max(CHUNK, (stop - first) // 2)
+            middle = first + max(CHUNK, (stop - first) // 2 // CHUNK * CHUNK)
+            first, stop = (middle, stop) if about >= middle else (first, middle)
         sent = self._send(
-            number, Kind.TABLE, now, part=LATER, about=first, codes=codes, base=base, others=tuple(others),
+            number, Kind.TABLE, now, part=part, about=first, codes=codes, base=base, others=tuple(others),
             news=(),
         )
         if not sent:
@@ -651,7 +773,7 @@
             if self.claims[number][:2] > claim[:2]:
                 better.append(number)
         if len(better) > BULK:
-            self._send_table(datagram.number, better[0] // CHUNK * CHUNK, now)
+            self._send_table(datagram.number, better[0], now)
         elif better:
             self._send(datagram.number, Kind.GOSSIP, now, part=LATER, first=better)
 
@@ -664,7 +786,7 @@
         told: list[int] = []
         if news is None:
             told = list(first)
-            if self.claims[number] > Claim(self._heads.get(number, 0), Standing.ALIVE):
+            if number != EVERYONE and self.claims[number] > Claim(self._heads.get(number, 0), Standing.ALIVE):
                 told.insert(0, number)  # what is said of it, which only it can refute
             # Answers and probes first: news that would crowd them out made sound members look silent.
             few = part == 1.0 and (self._budget.spent(now) > LATER / 2 or len(self._queue) > BULK)
--- a/quillroad/fleet/roster.py
+++ b/quillroad/fleet/roster.py
@@ -8,13 +8,16 @@
 
 
 class Roster:
-    """Members by number, this gateway's own among them. Raises `ValueError` where the own number is not one
-    of them or an address is there twice."""
+    """Members by number, this gateway's own among them. `everyone` is where one datagram reaches all of
+    them, None: nowhere. Raises `ValueError` where the own number is not one of them or an address is there
+    twice."""
 
-    def __init__(self, addresses: Sequence[Address], number: int) -> None:
+    def __init__(
+        self, addresses: Sequence[Address], number: int, everyone: Address | None = None
+    ) -> None:
         if not 0 <= number < len(addresses):
             raise ValueError(f"number {number} of {len(addresses)}")
-        self.addresses, self.number = tuple(addresses), number
+        self.addresses, self.number, self.everyone = tuple(addresses), number, everyone
         self._numbers = {address: i for i, address in enumerate(self.addresses)}
         if len(self._numbers) < len(self.addresses):
             raise ValueError("an address is there twice")
--- a/quillroad/fleet/settings.py
+++ b/quillroad/fleet/settings.py
@@ -21,13 +21,14 @@
 class _Members(Struct, forbid_unknown_fields=True):
     listen: str = ""
     addresses: list[str] = []
+    everyone: str = ""
 
 
 class _Talk(Struct, forbid_unknown_fields=True):
     period: Duration = "500 ms"
     answer: Duration = "200 ms"
     bytes_per_second: Annotated[int, Meta(ge=4 * MOST_BYTES, le=1_000_000)] = 2000
-    datagrams_per_second: Annotated[int, Meta(ge=10, le=10_000)] = 40
+    datagrams_per_second: Annotated[int, Meta(ge=10, le=10_000)] = 80
     fleet_bytes_per_second: Annotated[int, Meta(ge=0, le=10**9)] = 0
 
 
@@ -73,15 +74,21 @@
     if told.members.listen or told.members.addresses:
         listen = read_address(told.members.listen, "members.listen")
         addresses = [read_address(a, f"members.addresses[{i}]") for i, a in enumerate(told.members.addresses)]
+        everyone = None
+        if told.members.everyone:
+            everyone = read_address(told.members.everyone, "members.everyone")
         field = "members.addresses"
+    elif told.members.everyone:
+        raise ConfigError("members.everyone: goes with members.listen and members.addresses")
     elif config.peers is None:
         return None
     else:
         listen, addresses, field = config.peers.listen, list(config.peers.addresses), "peers"
+        everyone = config.peers.everyone
     if not 2 <= len(addresses) <= MOST_MEMBERS:
         raise ConfigError(f"{field}: needs 2 to {MOST_MEMBERS} addresses, not {len(addresses)}")
     try:
-        roster = Roster(addresses, config.settings.number)
+        roster = Roster(addresses, config.settings.number, everyone)
     except ValueError as error:
         raise ConfigError(f"{field}: {error}") from None
     return FleetSettings(
--- a/quillroad/fleet/socket.py
+++ b/quillroad/fleet/socket.py
@@ -21,7 +21,7 @@
 from quillroad.config import Config
 from quillroad.engine import Engine
 from quillroad.files import Writer
-from quillroad.fleet.core import Core
+from quillroad.fleet.core import EVERYONE, Core
 from quillroad.fleet.report import make_report, write_report
 from quillroad.fleet.settings import FleetSettings, load_fleet
 from quillroad.fleet.share import Part, Share
@@ -92,6 +92,7 @@
             return
         opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         opened.setblocking(False)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_BROADCAST, settings.roster.everyone is not None)
         try:
             opened.bind(settings.listen)
         except OSError as error:
@@ -221,8 +222,10 @@
             return
         out, core.outbox = core.outbox, []
         for number, data in out:
+            everyone = core.roster.everyone
+            to = everyone if number == EVERYONE and everyone is not None else core.roster.addresses[number]
             try:
-                opened.sendto(data, core.roster.addresses[number])
+                opened.sendto(data, to)
             except OSError:
                 core.dropped["not sent"] += 1
 
--- a/quillroad/fleet/suspicion.py
+++ b/quillroad/fleet/suspicion.py
@@ -28,8 +28,18 @@
     longest_s: float
     slots: int
     told: bool  # somebody else may have heard of it: from then on its time runs
+    scale: float  # that both waits were made longer by, for loss
     hearsay: bool = False  # it began with another's word that the member is gone
 
+    def scaled(self, scale: float) -> bool:
+        """Datagrams get lost more often than was thought: wait as much longer. Returns whether that is so."""
+        if scale <= 1.2 * self.scale:
+            return False
+        self.shortest_s *= scale / self.scale
+        self.longest_s *= scale / self.scale
+        self.scale = scale
+        return True
+
     @property
     def ends(self) -> float:
         """When it counts as certain."""
--- a/quillroad/fleet/timing.py
+++ b/quillroad/fleet/timing.py
@@ -22,11 +22,16 @@
     suspicion_rounds: float = 1.5
     suspicion_most: float = 3.0
     most_bytes: int = 2000
-    most_datagrams: int = 40
+    most_datagrams: int = 80
     gone_fleet_s: float = 0.25  # one of those that are gone is asked so often, by the whole fleet
     gone_most_s: float = 10.0  # and by each member, however large the fleet
     lifeguard: bool = True
 
+    @property
+    def light_s(self) -> float:
+        """For an answer to each question of a light probe."""
+        return self.answer_s / 2
+
     @property
     def late_s(self) -> float:
         """A timer that comes so late leaves no time to tell a lost answer from one that lies unread."""
--- a/rig/gateway.py
+++ b/rig/gateway.py
@@ -119,12 +119,14 @@
         assert self.process is not None
         return self.process.pid
 
-    def talks(self, fleet: str, listen: tuple[str, int], peers: list[str]) -> None:
+    def talks(self, fleet: str, listen: tuple[str, int], peers: list[str], everyone: str = "") -> None:
         """Let it talk to others by the text of this file: heard at `listen`, it reaches each at its address
-        in `peers`, by number."""
+        in `peers`, by number, and all of them at `everyone`, where that is told."""
         self.fleet = f'{fleet}\n[report]\nfile = "{self.view_file}"\nevery = "100 ms"\n'
         self.fleet += f'changes = "{self.changes_file}"\n'
         self._data |= {"peer_listen": f"{listen[0]}:{listen[1]}", "peers": peers}
+        if everyone:
+            self._data["peers_all"] = everyone
 
     @property
     def view_file(self) -> Path:
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -82,3 +82,21 @@
 def test_a_script_that_makes_no_sense_is_refused() -> None:
     with pytest.raises(msgspec.ValidationError):
         read_script("[[phases]]\nat_s = 0.0\nrules = [{ loss = 2.0 }]")
+
+
+@on_loop
+async def test_what_is_sent_to_all_reaches_each_other_one_by_the_rules_of_its_pair() -> None:
+    own = gateways(4)
+    relay = Relay([one.getsockname() for one in own], 1)
+    host, _, port = relay.everyone(0).partition(":")
+    relay.rule([Rule(sources=[0], targets=[2], cut=True)])
+    own[0].sendto(b"to all", (host, int(port)))
+    assert await read(own[1]) == (b"to all", peer(relay, 1, 0))
+    assert await read(own[3]) == (b"to all", peer(relay, 3, 0))
+    assert (relay.counts["to all"], relay.counts["passed"], relay.counts["lost"]) == (1, 2, 1)
+    for one in (own[0], own[2]):
+        with pytest.raises(BlockingIOError):
+            one.recvfrom(100)
+    relay.close()
+    for one in own:
+        one.close()
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -54,6 +54,8 @@
     ('[use]\nhold = "0 s"', "use.hold"),
     ('[report]\nfile = "/no/such/folder/view"', "report.file"),
     ('[members]\nlisten = "here"', "members.listen"),
+    ('[members]\neveryone = "127.0.0.1:9"', "members.everyone"),
+    ('[members]\nlisten = "127.0.0.1:1"\neveryone = "x"\naddresses = ["127.0.0.1:1"]', "members.everyone"),
     ('[members]\nlisten = "127.0.0.1:1"\naddresses = ["127.0.0.1:2"]', "members.addresses"),
     ('[members]\nlisten = "127.0.0.1:1"\naddresses = ["127.0.0.1:2", "127.0.0.1:2"]', "members.addresses"),
 ])
@@ -63,6 +65,18 @@
     assert field.rpartition(".")[0] in str(caught.value) and field.rpartition(".")[2] in str(caught.value)
 
 
+def test_the_address_that_reaches_all_is_the_platforms_or_the_files(tmp_path: Path) -> None:
+    everyone = ("127.0.0.1", 9)
+    told = load_fleet(file(tmp_path, ""), config(Peers(("127.0.0.1", 7000), ADDRESSES, everyone)))
+    assert told is not None and told.roster.everyone == everyone
+    members = f'[members]\nlisten = "{ADDRESSES[0][0]}:{ADDRESSES[0][1]}"\neveryone = "127.0.0.1:9"\n'
+    members += f"addresses = {[f'{host}:{port}' for host, port in ADDRESSES]}"
+    told = load_fleet(file(tmp_path, members), config(None))
+    assert told is not None and told.roster.everyone == everyone
+    none = load_fleet(file(tmp_path, ""), config())
+    assert none is not None and none.roster.everyone is None
+
+
 def test_a_small_budget_has_longer_periods(tmp_path: Path) -> None:
     few = load_fleet(file(tmp_path, "[talk]\nfleet_bytes_per_second = 3072"), config())
     usual = load_fleet(file(tmp_path, ""), config())
