Lab: all orders of delivery, loss and crash for three members

The issue asks for a walk over all orders for three members; drawn schedules are samples.

That nobody asks those that are gone is none of them: of three the one that is cut off is alone, and goes on asking.

--- /dev/null
+++ b/tests/fleet/test_walk.py
@@ -0,0 +1,76 @@
+"""All orders of delivery, loss and crash for three members, from moments at which much can go either way."""
+
+from __future__ import annotations
+
+import pytest
+
+from lab.fleet import EVERYONE
+from lab.walk import Broken, Draws, Flight, State, Step, Walk
+from quillroad.fleet.roster import Address
+from tests.fleet.test_schedules import FAULTS
+
+SCENES = ("all start", "settled", "suspected", "gone", "back from nothing", "apart, and whole again")
+
+
+@pytest.fixture(scope="module", params=[None, EVERYONE], ids=["one by one", "aloud"])
+def walk(request: pytest.FixtureRequest) -> Walk:
+    everyone: Address | None = request.param
+    return Walk(3, everyone=everyone)
+
+
+@pytest.mark.parametrize("scene", SCENES)
+def test_whatever_the_order_what_must_hold_does_and_views_agree_after_it(walk: Walk, scene: str) -> None:
+    begin = walk.scenes()[scene]
+    walk.walk(begin, 3)
+    walk.walk(begin, 6, closing=False)
+    assert walk.states > 30 and walk.closed > 2
+
+
+def test_states_that_are_the_same_are_walked_once() -> None:
+    """What arrives at two members commutes."""
+    walk = Walk(3)
+    at = walk.scenes()["settled"]
+    while len({flight.target for flight in at.flights}) < 2:
+        at = walk.step(at, next(step for step in walk.next(at) if step.act == "tick"))
+    first, second = (
+        next(flight for flight in at.flights if flight.target == target)
+        for target in sorted({flight.target for flight in at.flights})[:2]
+    )
+
+    def both(one: Flight, other: Flight) -> State:
+        return walk.step(walk.step(at, Step("deliver", one)), Step("deliver", other))
+
+    assert both(first, second) == both(second, first)
+
+
+def test_one_that_is_left_over_says_alone_and_ends_nobody() -> None:
+    walk = Walk(3)
+    at = walk.scenes()["settled"]
+    for number in (1, 2):
+        at = walk.step(at, Step("crash", number))
+    walk.close(at)
+
+
+@pytest.mark.parametrize("fault", [
+    "what is said of oneself is not refuted", "a suspicion never ends", "others bring one back",
+    "help is never over", "a refutation keeps its incarnation",
+])
+def test_a_planted_fault_is_found(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    walk = Walk(3)
+    scenes = walk.scenes()
+    where, name, what = FAULTS[fault]
+    monkeypatch.setattr(where, name, what)
+    with pytest.raises(Broken) as caught:
+        for begin in scenes.values():
+            walk.walk(begin, 3)
+    assert isinstance(caught.value.path, tuple)
+
+
+def test_the_random_numbers_are_evenly_spread_and_the_same_for_a_seed() -> None:
+    draws, again = Draws(3), Draws(3)
+    numbers = [draws() for _ in range(4000)]
+    assert numbers == [again() for _ in range(4000)]
+    assert all(0 <= number < 1 for number in numbers)
+    assert 0.48 < sum(numbers) / 4000 < 0.52
+    assert all(300 < sum(i <= 10 * number < i + 1 for number in numbers) < 500 for i in range(10))
+    assert isinstance(Walk(2).begin().cores[0], bytes)
