Rig: lines to hosts and discovery go through the relay; harder faults between processes

A partition cuts more than datagrams, and the tests of twelve processes could cut nothing else: the issue wants every line under the script.

rig/lines.py: each gateway has a loopback address at which hosts and discovery listen under their own ports, and its lines go on from there, so that discovery tells each where it reaches the hosts and a receipt says whose request it was. Rules: silent there, back or both ways (what was sent waits), reset, late. A drain that a part could not hear is none for it in the account (Drain.deaf); rules of loads go on to hold for all others.

--- a/rig/hosts.py
+++ b/rig/hosts.py
@@ -10,7 +10,9 @@
 from typing import Any, cast
 
 from rig.account import Receipt
+from rig.lines import gateway_at
 
+HOSTS_AT = b'"127.0.0.1:'
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -24,9 +26,11 @@
     def __init__(self, host: Host) -> None:
         self._host, self._data = host, b""
         self.transport: asyncio.Transport | None = None
+        self.by = -1  # the gateway at the other end
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.by = gateway_at(transport.get_extra_info("peername")[0])
         self._host.connections.add(self)
         self._host.connects += 1
 
@@ -69,7 +73,7 @@
         return self
 
     def received(self, connection: _Connection, request: str, key: str) -> None:
-        receipt = Receipt(request, self.name, time.monotonic(), key)
+        receipt = Receipt(request, self.name, time.monotonic(), key, connection.by)
         self.receipts.append(receipt)
         if self.on_receipt is not None:
             self.on_receipt(receipt)
@@ -103,9 +107,16 @@
         self._generation, self.port = 1, 0
         self._watches: list[asyncio.StreamWriter] = []
 
-    def _line(self, whole: bool, entries: list[dict[str, Any]]) -> bytes:
+    @staticmethod
+    def _as_seen(line: bytes, writer: asyncio.StreamWriter) -> bytes:
+        """Hosts under the address at which this caller finds them: its own, where its lines go through the
+        relay."""
+        host = writer.get_extra_info("peername")[0]
+        return line if gateway_at(host) < 0 else line.replace(HOSTS_AT, f'"{host}:'.encode())
+
+    def _line(self, whole: bool, entries: list[dict[str, Any]], writer: asyncio.StreamWriter) -> bytes:
         told = {"generation": self._generation, "reset": whole, "instances": entries}
-        data = json.dumps(told).encode() + b"\n"
+        data = self._as_seen(json.dumps(told).encode() + b"\n", writer)
         return b"%x\r\n%b\r\n" % (len(data), data)
 
     async def start(self) -> Discovery:
@@ -119,7 +130,7 @@
             if not await self._turn(writer):
                 return
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            writer.write(self._line(True, list(self._entries.values())))
+            writer.write(self._line(True, list(self._entries.values()), writer))
             self._watches.append(writer)
             while not writer.is_closing():
                 await asyncio.sleep(2.0)
@@ -139,24 +150,24 @@
         """Change one host's line, for all that watch."""
         self._generation += 1
         entry = self._entries[name] = self._entries[name] | changes
-        self._write(self._line(False, [entry]))
+        self._write(entry)
 
     def break_off(self, name: str, keep: str, **changes: Any) -> int:
         """Change one host's line, and end every watch in the middle of telling it: right after `keep`, a part
         of the line's text. Returns how many watches there were."""
         self._generation += 1
         entry = self._entries[name] = self._entries[name] | changes
-        line = self._line(False, [entry])
-        broken = self._write(line[: line.index(keep.encode()) + len(keep)])
+        broken = self._write(entry, keep.encode())
         for writer in self._watches:
             writer.close()
         self._watches.clear()
         return broken
 
-    def _write(self, data: bytes) -> int:
+    def _write(self, entry: dict[str, Any], keep: bytes = b"") -> int:
         told = [writer for writer in self._watches if not writer.is_closing()]
         for writer in told:
-            writer.write(data)
+            line = self._line(False, [entry], writer)
+            writer.write(line[: line.index(keep) + len(keep)] if keep else line)
         return len(told)
 
     def stop(self) -> None:
--- a/rig/stage.py
+++ b/rig/stage.py
@@ -15,6 +15,7 @@
 from rig.clients import Load
 from rig.gateway import GatewayProcess, free_port, settings
 from rig.hosts import Discovery, Host
+from rig.lines import address_of
 from rig.processes import hold
 from rig.relay import RelayProcess
 
@@ -28,7 +29,7 @@
     last `later` of the gateways start with `start_later` only, by the list as it is by then; `registry` makes
     what lists the hosts; `fleet` is the text of the file that turns the view of the fleet on, with the
     gateways' datagrams through `relay`, where `peers` allows them to talk; with `aloud` each can reach all
-    others by one of them."""
+    others by one of them, and with `lines` those to hosts and discovery go through it, too."""
 
     def __init__(
         self,
@@ -50,6 +51,7 @@
         fleet: str = "",
         peers: bool = True,
         aloud: bool = False,
+        lines: bool = False,
         **told: Any,
     ) -> None:
         self._folder, self._works, self._sockets = folder, works, sockets
@@ -57,7 +59,8 @@
         self.hosts = [Host(f"s-{i}", delay, zones[i % len(zones)]) for i in range(hosts)]
         self._operators, self._later, self._list = operators, later, registry
         self._fleet, self._peers, self.relay = fleet, bool(fleet) and peers, RelayProcess([])
-        self._aloud = aloud
+        self._aloud, self._lines = aloud, lines
+        self.deaf: frozenset[int] = frozenset()  # gateways that cannot hear what discovery tells
         self._count, self._upgrades, self._path, self._tree = gateways, upgrades, path, tree
         self.gateways: list[GatewayProcess] = []
         self.log = ""
@@ -76,7 +79,8 @@
         if self._fleet:
             # An address for each: the relay's many sockets may get any free port of 127.0.0.1.
             listens = [(f"127.1.0.{n + 1}", free_port(SOCK_DGRAM)) for n in range(self._count)]
-            self.relay = await RelayProcess(listens).start()
+            lines = {host.name: host.port for host in self.hosts} | {"discovery": self.discovery.port}
+            self.relay = await RelayProcess(listens, lines=lines if self._lines else None).start()
         for number in range(self._count):
             folder = self._folder / str(number)
             folder.mkdir()
@@ -89,6 +93,8 @@
             gateway.admin = free_port() if self._operators else 0
             if self._fleet:
                 everyone = self.relay.everyone[number] if self._aloud else ""
+                if self._lines:
+                    gateway.reconfigure(discovery=f"{address_of(number)}:{self.discovery.port}")
                 gateway.talks(self._fleet, listens[number], self.relay.peers[number], everyone)
             self.gateways.append(gateway)
         early = self.gateways[: self._count - self._later]
@@ -159,5 +165,5 @@
             if changes["lifecycle"] == "up":
                 self.drains = [replace(d, until=now) if d in open_ones else d for d in self.drains]
             elif not open_ones:
-                self.drains.append(Drain(host.name, now))
+                self.drains.append(Drain(host.name, now, deaf=self.deaf))
         return now
--- /dev/null
+++ b/tests/fleet/test_lines.py
@@ -0,0 +1,123 @@
+"""Lines to hosts and discovery under rules: alone, and between processes together with their datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from rig.account import tally, total
+from rig.hosts import Host
+from rig.lines import LineRule, Lines, address_of, gateway_at
+from rig.schedule import steady
+from rig.stage import Stage
+from tests.fleet.test_processes import SIZE, USED, WORKS, agreed, ended, marks
+from tests.net import on_loop, on_loop_within, until
+
+ASK = b"GET / HTTP/1.1\r\nRequest-Id: %b\r\n\r\n"
+
+
+async def ask(lines: Lines, host: Host, gateway: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection(address_of(gateway), host.port)
+
+
+@on_loop
+async def test_a_cut_line_is_silent_and_whole_again_with_what_was_sent() -> None:
+    host = await Host("s-0").start()
+    lines = await Lines(2, {"s-0": host.port}).start()
+    reader, writer = await ask(lines, host, 1)
+    writer.write(ASK % b"a")
+    assert (await reader.readuntil(b"ok")).endswith(b"ok")
+    assert [(one.id, one.by) for one in host.receipts] == [("a", 1)]
+    lines.rule([LineRule(gateways=[1], cut=["there"])])
+    writer.write(ASK % b"b")
+    other, to = await ask(lines, host, 0)  # another gateway's goes on
+    to.write(ASK % b"c")
+    await other.readuntil(b"ok")
+    assert [one.id for one in host.receipts] == ["a", "c"]
+    lines.rule([LineRule(gateways=[1], cut=["back"])])  # now it is heard, and hears nothing
+    await until(lambda: len(host.receipts) == 3)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reader.readuntil(b"ok")
+    lines.rule([])
+    assert (await reader.readuntil(b"ok")).endswith(b"ok")
+    lines.rule([LineRule(gateways=[1], reset=True)])
+    with pytest.raises(ConnectionResetError):
+        await reader.read()
+    refused, _ = await ask(lines, host, 1)
+    with pytest.raises(ConnectionResetError):
+        await refused.read()
+    to.close()
+    await until(lambda: lines.open == 0)
+    lines.close()
+    host.stop()
+
+
+def test_whose_a_line_is_follows_from_its_address() -> None:
+    assert [gateway_at(address_of(n)) for n in (0, 11, 199)] == [0, 11, 199]
+    assert gateway_at("127.0.0.1") == -1
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.convert({"cut": ["sideways"]}, LineRule)
+
+
+@on_loop_within(60.0)
+async def test_a_part_without_discovery_and_a_third_of_the_hosts_loses_no_request(tmp_path: Path) -> None:
+    """Its datagrams, its line to discovery and those to two hosts are cut at once: a partition as it is."""
+    async with Stage(
+        tmp_path, WORKS, 6, delay=0.01, gateways=SIZE, fleet=USED, aloud=True, lines=True
+    ) as on:
+        await until(agreed(on, range(SIZE)))
+        one, other = list(range(5)), list(range(5, SIZE))
+        loads = [on.load(number) for number in (0, 5)]
+        running = [asyncio.ensure_future(load.open_loop(steady(20.0, 12.0))) for load in loads]
+        before = marks(on, range(SIZE))
+        await on.relay.lines(
+            {"gateways": one, "targets": ["discovery", "s-0", "s-1"], "cut": ["there", "back"]}
+        )
+        await on.relay.apart(one, other)
+        on.deaf = frozenset(one)
+        on.tell(on.hosts[3], lifecycle="draining")
+        await until(lambda: agreed(on, one)() and agreed(on, other)())
+        for part in (one, other):
+            assert {pair for pair in ended(on, part, before) if pair[1] in part} == set()
+        on.deaf = frozenset()
+        await on.relay.lines()
+        await on.relay.rule()
+        await until(agreed(on, range(SIZE)))
+        await asyncio.gather(*running)
+        # What hosts received from whom is what the loads' gateways sent, and nobody else sent anything.
+        assert {one.by for one in on.receipts()} == {0, 5}
+        late = [on.load(number, prefix=f"b{number}-") for number in (0, 5)]
+        on.tell(on.hosts[4], lifecycle="draining")  # which all hear again
+        await asyncio.gather(*(load.open_loop(steady(20.0, 2.0)) for load in late))
+        for load in (*loads, *late):
+            await load.settle()
+        whole = total(tally([r for load in (*loads, *late) for r in load.records], WORKS).values())
+        assert whole.sent == whole.in_aim + whole.served + whole.refused + whole.failed
+        assert whole.in_aim > 0.9 * whole.sent
+        assert on.broken(*loads, *late) == []
+
+
+@on_loop
+async def test_one_that_no_host_answers_is_no_less_there(tmp_path: Path) -> None:
+    """Its lines to hosts are cut on the way back: its own requests suffer, each with one answer, and nobody
+    holds it for gone, nor does it hold others."""
+    async with Stage(tmp_path, WORKS, 6, delay=0.01, gateways=4, fleet=USED, lines=True) as on:
+        await until(agreed(on, range(4)))
+        before = marks(on, range(4))
+        loads = [on.load(number) for number in (0, 1)]
+        await on.relay.lines({"gateways": [1], "targets": [h.name for h in on.hosts], "cut": ["back"]})
+        await asyncio.gather(*(load.open_loop(steady(20.0, 4.0)) for load in loads))
+        await loads[1].settle()
+        hurt = total(tally(loads[1].records, WORKS).values())
+        assert hurt.sent == hurt.refused + hurt.failed and hurt.unanswered == 0
+        await on.relay.lines()
+        await until(agreed(on, range(4)))
+        assert ended(on, range(4), before) == set()
+        await loads[0].settle()
+        sound = total(tally(loads[0].records, WORKS).values())
+        assert sound.in_aim > 0.9 * sound.sent and sound.failed == 0
+        assert on.broken(*loads) == []
