--- a/bench/fleet_view.py
+++ b/bench/fleet_view.py
@@ -1,7 +1,8 @@
 """How fast views agree, and what that costs: `python -m bench.fleet_view [--seeds 50] [--jobs 8]`.
 
 Each way runs on the same simulated network and seeds: the fleet's own core, without and with an address
-that reaches all ("aloud"), SWIM without Lifeguard, heartbeats from all to all. Per event and size: seconds
+that reaches all ("aloud"), SWIM without Lifeguard, heartbeats from all to all, the same with a clock that
+learns (phi-accrual), cut detection by many observers. Per event and size: seconds
 until all views agree (median and worst of the seeds, and how many never did in 60 s), sound members that
 someone held for gone, and bytes and datagrams a second a member. The CPU time of a datagram is this
 machine's. `--jobs` runs go side by side. `--json FILE` keeps it, `--plot FILE` draws the times.
@@ -21,9 +22,11 @@
 from pathlib import Path
 from typing import Any
 
+from lab.cuts import Cuts
 from lab.fleet import EVERYONE, Fleet
 from lab.heartbeats import Heartbeats
 from lab.net import Link, World
+from lab.phi import Phi
 from quillroad.fleet.core import Core
 from quillroad.fleet.roster import Address
 from quillroad.fleet.timing import Timing
@@ -35,6 +38,8 @@
     "own aloud": (Core, Timing(), EVERYONE),
     "plain SWIM": (Core, replace(Timing(), lifeguard=False), None),
     "heartbeats": (Heartbeats, Timing(), None),
+    "phi-accrual": (Phi, Timing(), None),
+    "cut detection": (Cuts, Timing(), None),
 }
 
 
--- a/lab/heartbeats.py
+++ b/lab/heartbeats.py
@@ -45,7 +45,7 @@
         data = encode(Datagram(VERSION, self._roster.number, self._life, 1, Kind.GOSSIP, 0, 0))
         self.outbox += [(n, data) for n in self._members]
         for number, at in list(self._heard.items()):
-            if now - at > MISSED * self._period_s:
+            if self._missed(number, at, now):
                 del self._heard[number]
                 self._set(number, Standing.GONE, now)
 
@@ -55,6 +55,10 @@
         if self._members[number].standing is not Standing.ALIVE:
             self._set(number, Standing.ALIVE, now)
 
+    def _missed(self, number: int, at: float, now: float) -> bool:
+        """Whether one that was heard last at `at` counts as gone."""
+        return now - at > MISSED * self._period_s
+
     def _set(self, number: int, standing: Standing, now: float) -> None:
         self._version += 1
         self._members = self._members.set(number, Seen(standing, 1, now, "heard", number))
--- /dev/null
+++ b/tests/fleet/test_ways.py
@@ -0,0 +1,58 @@
+"""The other ways of knowing who is there, as they are measured beside: that they do what their papers say."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from lab.cuts import Cuts
+from lab.fleet import Fleet
+from lab.heartbeats import Heartbeats
+from lab.net import Link, World
+from lab.phi import PAUSE_PERIODS, THRESHOLD, Phi
+from quillroad.fleet.roster import Roster
+from quillroad.fleet.timing import Timing
+from quillroad.fleet.wire import VERSION, Datagram, Kind, encode
+
+ROSTER = Roster([("10.0.0.0", 1), ("10.0.0.1", 1)], 0)
+
+
+def settled(way: Any, size: int, seed: int = 1) -> Fleet:
+    fleet = Fleet(World(seed, Link(loss=0.05)), size, Timing(), way)
+    fleet.start(within_s=1.0)
+    assert fleet.until(fleet.agreed, 20.0) is not None
+    fleet.world.run(fleet.world.now + 5.0)
+    return fleet
+
+
+@pytest.mark.parametrize("way", [Heartbeats, Phi, Cuts])
+@pytest.mark.parametrize("size", [5, 12])
+def test_a_crash_is_seen_by_all_and_nothing_else(way: Any, size: int) -> None:
+    fleet = settled(way, size)
+    fleet.members[1].kill()
+    assert fleet.until(fleet.agreed, 15.0) is not None
+    assert {c.number for m in fleet.members for c in m.history if c.what == "gone"} == {1}
+    fleet.members[1].start()
+    assert fleet.until(fleet.agreed, 15.0) is not None
+
+
+def test_phi_grows_with_silence_and_learns_the_intervals() -> None:
+    def phi_after(interval_s: float, silent_s: float) -> float:
+        phi = Phi(ROSTER, Timing(), 0.0, lambda: 0.0, 1)
+        for i in range(50):
+            data = encode(Datagram(VERSION, 1, 1, 1, Kind.GOSSIP, 0, 0))
+            phi.receive(("10.0.0.1", 1), data, i * interval_s)
+        return phi.phi(1, silent_s + PAUSE_PERIODS * 2 * Timing().period_s)
+
+    assert phi_after(1.0, 0.5) < phi_after(1.0, 1.0) < phi_after(1.0, 1.5)
+    assert phi_after(1.0, 1.0) == pytest.approx(0.30, abs=0.01)  # as likely as not
+    assert phi_after(2.0, 1.7) < THRESHOLD < phi_after(1.0, 1.7)
+
+
+def test_a_cut_needs_three_quarters_and_without_them_ends_nobody() -> None:
+    fleet = settled(Cuts, 12)
+    for member in fleet.members[:8]:
+        member.kill()
+    assert fleet.until(fleet.agreed, 30.0) is None
+    assert not [c for m in fleet.members for c in m.history if c.what == "gone"]
