Fleet view: a lie about the last incarnation is refused, and what is true still refuted

What others say of a member is believed up to 2^31 and 1,024 beyond the highest heard; more is dropped and counted as a leap. Of itself a gateway believes more only where two others say so: it came so far before it started from nothing. What a member says of itself is believed as before. At a lie each tenth of a second the end of the range is 58 hours away.

Tests: one member lies for 10 s at five distances, also to one that has just started; nobody is ended, and a true crash and return are seen after it.

--- a/quillroad/fleet/claims.py
+++ b/quillroad/fleet/claims.py
@@ -13,6 +13,8 @@
 from typing import NamedTuple
 
 MOST_INCARNATION = 2**32 - 1
+USUAL_INCARNATION = 2**31  # further than any member came that nobody lied about
+LEAP = 1024  # beyond that: a lie a tenth of a second would take 58 hours to the last one there is
 CHUNK = 32  # members in one part of the table: with incarnations of 5 bytes it still fits one datagram
 SLOTS = 3
 
@@ -51,6 +53,12 @@
     return 1 << number % SLOTS
 
 
+def credible(incarnation: int, known: int) -> bool:
+    """Whether somebody else is believed that a member, of whom `known` is the highest heard, came so far. One
+    lie must not reach the last incarnation there is, behind which nothing can be refuted."""
+    return incarnation <= max(known, USUAL_INCARNATION) + LEAP
+
+
 def _code(claim: Claim) -> int:
     """0 to 3 is a place in `_SETTLED`; from there on it is a suspicion with its slots."""
     if claim.standing is Standing.SUSPECT:
--- a/quillroad/fleet/core.py
+++ b/quillroad/fleet/core.py
@@ -19,7 +19,16 @@
 from immutables import Map
 
 from quillroad.fleet.budget import Budget
-from quillroad.fleet.claims import CHUNK, MOST_INCARNATION, Claim, Claims, Standing, slot, unpacked
+from quillroad.fleet.claims import (
+    CHUNK,
+    MOST_INCARNATION,
+    Claim,
+    Claims,
+    Standing,
+    credible,
+    slot,
+    unpacked,
+)
 from quillroad.fleet.condition import TWIN_S, Condition, Self
 from quillroad.fleet.news import Queue
 from quillroad.fleet.roster import Address, Roster
@@ -139,6 +148,7 @@
         self._sequence = int(draw() * 2**32)
         self._left, self._began = False, now
         self._refuted = self._misled = float("-inf")
+        self._leapers: set[int] = set()  # who said something incredible of this gateway
         self._next_probe = now + draw() * timing.period_s
         self._next_gossip = now + draw() * timing.gossip_s
         self._next_gone = now
@@ -326,11 +336,11 @@
             self.dropped["unknown member"] += 1  # in the middle of a reload one of two knows more
             return
         if news.number == self.number:
-            self._of_self(news.claim(), now)
+            self._of_self(news.claim(), by, now)
         else:
             self._claim(news.number, news.claim(), by, "told", now)
 
-    def _of_self(self, claim: Claim, now: float) -> None:
+    def _of_self(self, claim: Claim, by: int, now: float) -> None:
         """Somebody says something of this gateway."""
         own = Claim(self.incarnation, Standing.ALIVE)
         if claim[:2] <= own[:2] or self._left:
@@ -339,9 +349,16 @@
             return  # it is told again
         if claim.standing is Standing.SUSPECT:
             self._condition.doubted()
+        if not credible(claim.incarnation, self.incarnation):
+            # A lie; or this one came so far before it started from nothing, and then several know of it.
+            self.dropped["leap"] += 1
+            self._leapers.add(by)
+            if len(self._leapers) < min(WITNESSES, len(self.roster) - 1):
+                return
         if claim.incarnation >= MOST_INCARNATION:
             self.dropped["last incarnation"] += 1
             return
+        self._leapers.clear()
         self._refuted = now
         self.incarnation = claim.incarnation + 1
         self.claims.merge(self.number, Claim(self.incarnation, Standing.ALIVE))
@@ -351,6 +368,9 @@
 
     def _claim(self, number: int, claim: Claim, by: int, how: str, now: float) -> None:
         """A claim of another member: into the table, and on to what is held of it here."""
+        if how == "told" and not credible(claim.incarnation, self.claims[number].incarnation):
+            self.dropped["leap"] += 1
+            return
         if not self.claims.merge(number, claim):
             return
         if how == "silent":
@@ -767,7 +787,7 @@
                 self.dropped["unknown member"] += 1
                 break
             if number == self.number:
-                self._of_self(claim, now)
+                self._of_self(claim, datagram.number, now)
             elif claim.standing is not Standing.UNKNOWN:
                 self._claim(number, claim, datagram.number, "told", now)
             if self.claims[number][:2] > claim[:2]:
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -6,7 +6,7 @@
 
 from lab.fleet import Fleet, Member
 from lab.net import Link, World
-from quillroad.fleet.claims import Standing
+from quillroad.fleet.claims import LEAP, MOST_INCARNATION, USUAL_INCARNATION, Claim, Standing
 from quillroad.fleet.condition import Self
 from quillroad.fleet.core import Core
 from quillroad.fleet.roster import Roster
@@ -209,6 +209,47 @@
     assert not [pair for pair in ends(fleet) if pair[0] != 5]
 
 
+@pytest.mark.parametrize("incarnation", [
+    MOST_INCARNATION, MOST_INCARNATION - 1, USUAL_INCARNATION + LEAP, USUAL_INCARNATION, 1000,
+])
+def test_a_lie_about_the_future_can_be_refuted_for_ever(incarnation: int) -> None:
+    """One says of all others that they are gone in an incarnation far ahead, for a while, also to one that
+    has just started and knows nothing."""
+    fleet = settled(6, 1)
+    fleet.members[0].kill()
+    fleet.world.run(fleet.world.now + 1.0)
+    fleet.members[0].start()
+    end = fleet.world.now + 10.0
+    while fleet.world.now < end:
+        for target in (0, 1, 2, 3, 4):
+            lies = [News(n, incarnation, int(Standing.GONE)) for n in range(5)]
+            fleet.carry(5, target, datagram(5, *lies))
+        fleet.world.run(fleet.world.now + 0.5)
+    assert not [pair for pair in ends(fleet) if pair[0] != 5 and pair[1] != 0]
+    assert fleet.until(lambda: fleet.agreed(range(5), range(6)), 20.0) is not None
+    assert all(core(fleet, n).incarnation < USUAL_INCARNATION + 3 * LEAP for n in range(5))
+    if incarnation > USUAL_INCARNATION + LEAP:
+        assert core(fleet, 1).dropped["leap"] > 0 and core(fleet, 1).incarnation < 100
+    fleet.members[2].kill()  # what is true is still seen, and comes back from nothing
+    assert fleet.until(lambda: fleet.agreed([0, 1, 3, 4], [0, 1, 3, 4, 5]), 20.0) is not None
+    fleet.members[2].start()
+    assert fleet.until(lambda: fleet.agreed(range(5), range(6)), 20.0) is not None
+
+
+def test_one_that_came_far_and_starts_from_nothing_believes_two_and_not_one() -> None:
+    fleet = settled(6, 1)
+    far = USUAL_INCARNATION + 50 * LEAP
+    core(fleet, 2).incarnation = far  # as after years of refutations
+    core(fleet, 2).claims.merge(2, Claim(far, Standing.ALIVE))
+    assert fleet.until(lambda: all(core(fleet, n).claims[2].incarnation >= far for n in range(6)), 60.0)
+    fleet.members[2].kill()
+    others = set(range(6)) - {2}
+    assert fleet.until(lambda: fleet.agreed(others, others), 20.0) is not None
+    fleet.members[2].start()
+    assert fleet.until(fleet.agreed, 20.0) is not None
+    assert core(fleet, 2).incarnation > far
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_two_processes_of_one_number_both_say_so(seed: int) -> None:
     fleet = settled(6, seed)
