--- a/rig/gateway.py
+++ b/rig/gateway.py
@@ -228,6 +228,10 @@
     def drain(self) -> None:
         os.kill(self.pid, signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Let it read its files again (SIGHUP)."""
+        os.kill(self.pid, signal.SIGHUP)
+
     def kill(self) -> None:
         os.kill(self.pid, signal.SIGKILL)
 
--- a/rig/relay.py
+++ b/rig/relay.py
@@ -212,7 +212,7 @@
         return self
 
     async def say(self, **command: Any) -> dict[str, Any]:
-        """One command; returns the relay's counts right after it."""
+        """One command, or none; returns the relay's counts right after it."""
         assert self._process.stdin is not None and self._process.stdout is not None
         self._process.stdin.write(json.dumps(command).encode() + b"\n")
         told: dict[str, Any] = json.loads(await self._process.stdout.readline())
--- a/tests/fleet/test_many_faults.py
+++ b/tests/fleet/test_many_faults.py
@@ -110,3 +110,34 @@
         load = on.load(5)
         await load.open_loop(steady(20.0, 1.0))
         await accounted(on, load)
+
+
+@on_loop_within(60.0)
+async def test_a_roster_that_grows_by_reload_one_gateway_after_the_other(tmp_path: Path) -> None:
+    """Four know of four, and a fifth starts while some have read the longer roster and some have not."""
+    async with Stage(
+        tmp_path, WORKS, 6, delay=0.01, gateways=5, fleet=USED, aloud=True, later=1
+    ) as on:
+        longer = {n: on.relay.peers[n] for n in range(5)}
+        for n in range(4):
+            on.gateways[n].reconfigure(peers=longer[n][:4])
+            on.gateways[n].hang_up()
+        await until(agreed(on, range(4)))
+        loads = [on.load(n) for n in range(4)]
+        running = [asyncio.ensure_future(load.open_loop(steady(20.0, 8.0))) for load in loads]
+        for n in (0, 1):
+            on.gateways[n].reconfigure(peers=longer[n])
+            on.gateways[n].hang_up()
+        await until(lambda: all(4 in standing(view(on, n)).get("unknown", set()) for n in (0, 1)))  # type: ignore[arg-type]
+        await on.start_later()
+        # The others take it for a stranger, and what they are told of it for a member that they do not know.
+        await until(lambda: all(4 in standing(view(on, n)).get("alive", set()) for n in (0, 1)))  # type: ignore[arg-type]
+        await until(lambda: view(on, 2).dropped.get("stranger", 0) > 0)  # type: ignore[union-attr]
+        before = marks(on, range(5))
+        for n in (2, 3):
+            on.gateways[n].reconfigure(peers=longer[n])
+            on.gateways[n].hang_up()
+        await until(agreed(on, range(5)))
+        assert ended(on, range(5), before) == set()
+        await asyncio.gather(*running)
+        await accounted(on, *loads)
