--- a/quillroad/fleet/core.py
+++ b/quillroad/fleet/core.py
@@ -477,7 +477,7 @@
         return self._send(number, Kind.PING, now, sequence=self._sequence, part=part, news=news)
 
     def _begin_probe(self, number: int | None, now: float) -> None:
-        if number is not None and self._hurried:  # help for each would take the budget of ten seconds
+        if number is not None and self._hurried:
             self._begin_light(number, now, 1.0, doubted=number in self._suspicions)
         elif number is not None:
             self._begin_full(number, now)
@@ -521,8 +521,7 @@
 
     def _probe_more(self, now: float) -> None:
         """Probe one whom others suspect: of the whole fleet a few do so, and soon, where waiting for its turn
-        with enough of them would take longer than the suspicion. Where many are suspected more may be gone
-        that nobody has asked yet."""
+        with enough of them would take longer than the suspicion."""
         if not self._judging(now):
             return
         own = slot(self.number)
@@ -557,8 +556,8 @@
 
     @property
     def _hurried(self) -> bool:
-        """Many are gone at once: a thorough probe of each would take the budget of ten seconds. Not so where
-        datagrams get lost: there light probes made many more suspects, and those still lighter probes."""
+        """Many are gone at once: a full probe of each would take the budget of ten seconds. Not so where
+        datagrams get lost: there light probes made many more suspects, and those more light probes."""
         return len(self._suspicions) >= MANY and self._condition.lossy < LOSSY
 
     def _unanswered(self, probe: _Probe, now: float) -> None:
--- a/quillroad/fleet/socket.py
+++ b/quillroad/fleet/socket.py
@@ -92,7 +92,7 @@
             return
         opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         opened.setblocking(False)
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_BROADCAST, settings.roster.everyone is not None)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_BROADCAST, True)  # a reload may tell of one
         try:
             opened.bind(settings.listen)
         except OSError as error:
