--- a/rig/stage.py
+++ b/rig/stage.py
@@ -29,7 +29,8 @@
     last `later` of the gateways start with `start_later` only, by the list as it is by then; `registry` makes
     what lists the hosts; `fleet` is the text of the file that turns the view of the fleet on, with the
     gateways' datagrams through `relay`, where `peers` allows them to talk; with `aloud` each can reach all
-    others by one of them, and with `lines` those to hosts and discovery go through it, too."""
+    others by one of them, and with `lines` those to hosts and discovery go through it, too; views are
+    written `every` so often."""
 
     def __init__(
         self,
@@ -52,6 +53,7 @@
         peers: bool = True,
         aloud: bool = False,
         lines: bool = False,
+        every: str = "100 ms",
         **told: Any,
     ) -> None:
         self._folder, self._works, self._sockets = folder, works, sockets
@@ -59,7 +61,7 @@
         self.hosts = [Host(f"s-{i}", delay, zones[i % len(zones)]) for i in range(hosts)]
         self._operators, self._later, self._list = operators, later, registry
         self._fleet, self._peers, self.relay = fleet, bool(fleet) and peers, RelayProcess([])
-        self._aloud, self._lines = aloud, lines
+        self._aloud, self._lines, self._every = aloud, lines, every
         self.deaf: frozenset[int] = frozenset()  # gateways that cannot hear what discovery tells
         self._count, self._upgrades, self._path, self._tree = gateways, upgrades, path, tree
         self.gateways: list[GatewayProcess] = []
@@ -95,7 +97,7 @@
                 everyone = self.relay.everyone[number] if self._aloud else ""
                 if self._lines:
                     gateway.reconfigure(discovery=f"{address_of(number)}:{self.discovery.port}")
-                gateway.talks(self._fleet, listens[number], self.relay.peers[number], everyone)
+                gateway.talks(self._fleet, listens[number], self.relay.peers[number], everyone, self._every)
             self.gateways.append(gateway)
         early = self.gateways[: self._count - self._later]
         if self._fleet:  # which is to settle from a start of all at once
