--- a/rig/gateway.py
+++ b/rig/gateway.py
@@ -123,8 +123,8 @@
         self, fleet: str, listen: tuple[str, int], peers: list[str], everyone: str = "", every: str = "100 ms"
     ) -> None:
         """Let it talk to others by the text of this file: heard at `listen`, it reaches each at its address
-        in `peers`, by number, and all of them at `everyone`, where that is told; its view is written `every` so
-        often."""
+        in `peers`, by number, and all of them at `everyone`, where that is told; `every` so often its view is
+        written."""
         self.fleet = f'{fleet}\n[report]\nfile = "{self.view_file}"\nevery = "{every}"\n'
         self.fleet += f'changes = "{self.changes_file}"\n'
         self._data |= {"peer_listen": f"{listen[0]}:{listen[1]}", "peers": peers}
