--- a/quillroad/fleet/core.py
+++ b/quillroad/fleet/core.py
@@ -182,6 +182,9 @@
     def arm(self, now: float) -> float:
         """When `tick` is due next; to be asked for after each call that may change it. A tick that comes
         later than that is taken for a sign of a slow process."""
+        if self._left:  # nothing begins any more: what was due would be so at once, for ever
+            self._armed = now + self.timing.period_s
+            return self._armed
         times = [self._next_probe, self._next_gone]
         if len(self._queue) or self._suspicions:
             times.append(self._next_gossip)
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -156,6 +156,19 @@
     assert core(fleet, 0).view.members[3].standing is Standing.LEFT and not ends(fleet)
 
 
+def test_one_that_has_left_is_due_once_a_period_and_no_more() -> None:
+    """It answers for as long as it drains, and nothing that it would have begun keeps its clock busy."""
+    fleet = settled(4, 1, aloud=True)
+    leaving, now = core(fleet, 3), fleet.world.now + 1.0
+    leaving.tick(now)
+    leaving.leave(now)
+    for _ in range(5):
+        due = leaving.arm(now)
+        assert due >= now + fleet.timing.period_s
+        now = due
+        leaving.tick(now)
+
+
 def alone() -> tuple[Core, Fleet]:
     fleet = settled(3, 1)
     return core(fleet, 0), fleet
