--- a/tests/fleet/test_many_faults.py
+++ b/tests/fleet/test_many_faults.py
@@ -94,8 +94,10 @@
 
 
 @on_loop
-async def test_what_a_member_says_to_all_is_bounded_and_believed_by_who_hears_it(tmp_path: Path) -> None:
-    """One in twelve cannot be heard where all are reached: it is missed by nobody, for rumours go on."""
+async def test_one_that_is_killed_and_comes_back_is_known_to_all_and_nobody_else_is_missed(
+    tmp_path: Path,
+) -> None:
+    """Where one datagram reaches all: what they hold of it changes, and of nobody else."""
     async with stage(tmp_path, aloud=True) as on:
         await until(agreed(on, range(SIZE)))
         before = marks(on, range(SIZE))
