--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import signal
 import socket
@@ -416,6 +417,17 @@
                 self.journal.write(f"log of process {number + 1}: {line[:300]}")
 
 
+def children_of(process: int) -> set[int]:
+    """Return the ids of a process's children that run."""
+    found = set()
+    for path in Path("/proc").glob("[0-9]*/stat"):
+        with contextlib.suppress(OSError):
+            state, parent = path.read_text(encoding="utf-8").rpartition(") ")[2].split()[:2]
+            if int(parent) == process and state != "Z":
+                found.add(int(path.parent.name))
+    return found
+
+
 async def call(method: str, path: str, port: int) -> int:
     """Make one call of HTTP; return the status, 0 if there was no answer within a second."""
     with contextlib.suppress(OSError, TimeoutError, ValueError, IndexError):
@@ -468,6 +480,7 @@
     """One request of a client. Times are of the monotonic clock; 0: did not happen."""
 
     request_id: str
+    begun: float = 0.0
     written: float = 0.0  # its last byte was written
     answered: float = 0.0  # last byte of a whole answer
     status: int = 0
@@ -497,12 +510,17 @@
         self._pause_s = pause_s
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        self._stopped = False
         self.sent: list[Sent] = []
 
-    async def run(self, until: float) -> None:
-        """Send requests until this moment of the monotonic clock."""
+    def stop(self) -> None:
+        """Send no further request."""
+        self._stopped = True
+
+    async def run(self, until: float = math.inf) -> None:
+        """Send requests until this moment of the monotonic clock, or until `stop`."""
         number = 0
-        while time.monotonic() < until:
+        while time.monotonic() < until and not self._stopped:
             number += 1
             await self._send(Sent(f"{self._prefix}-{number}"))
             await asyncio.sleep(self._pause_s)
@@ -515,6 +533,7 @@
 
     async def _send(self, sent: Sent) -> None:
         self.sent.append(sent)
+        sent.begun = time.monotonic()
         deadline_s = CLASSES[self._name]["deadline_ms"] / 1000
         try:
             async with asyncio.timeout(deadline_s):
