--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,4 +85,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(__file__, run))
+    sys.exit(run_case(Path(__file__).with_name("record.txt"), run))
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -568,13 +568,13 @@
 RunCase = Callable[[Path, Journal, bool], Awaitable[int]]
 
 
-def run_case(file: str, run: RunCase) -> int:
-    """Run a case and return its exit status; `file` is the case's own file.
+def run_case(record: Path, run: RunCase) -> int:
+    """Run a case and return its exit status; `record` is where its journal is written.
 
     1: the rule was broken, 0: it held, 2: the case could not run. The environment's `TROUBLE=0`
     leaves the disruption out.
     """
-    journal = Journal(Path(file).with_name("record.txt"))
+    journal = Journal(record)
     trouble = os.environ.get("TROUBLE") != "0"
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes are ended
     with tempfile.TemporaryDirectory() as folder:
