--- a/quillroad/downstream/request_validation.py
+++ b/quillroad/downstream/request_validation.py
@@ -95,6 +95,7 @@
         if not idempotent:
             forwarded.append(b"Content-Length: %d" % len(body))
         work_hint = values.get(b"work-hint", b"")
+        has_estimate = work_hint.isdigit() and len(work_hint) <= MAX_WORK_HINT_DIGITS
         return ClientRequest(
             id=values[b"request-id"].decode("latin-1"),
             route=route,
@@ -106,9 +107,7 @@
                 self.latest_deadline_at,
             ),
             is_retry=values.get(b"client-retry") == b"1",
-            work_estimate_us=int(work_hint)
-            if work_hint.isdigit() and len(work_hint) <= MAX_WORK_HINT_DIGITS
-            else None,
+            work_estimate_us=int(work_hint) if has_estimate else None,
             head=b"\r\n".join(forwarded) + b"\r\n",
             # A long body is passed on without a copy, which would double its memory.
             body=b"" if idempotent else body if len(body) > SHORT_BODY else bytes(body),
--- a/quillroad/upgrade/worker_process.py
+++ b/quillroad/upgrade/worker_process.py
@@ -18,6 +18,7 @@
 from quillroad.config import RESERVED, Config
 from quillroad.gateway import ANSWERS_FLUSH_S, Gateway
 from quillroad.upgrade.channel import Channel, close_all
+from quillroad.upgrade.gateway_control import serve_operators, set_descriptor_limit
 from quillroad.upgrade.messages import (
     Connections,
     Message,
@@ -163,7 +164,7 @@
         self._state.batch = migration_batch_size(config.sockets)
         gateway = Gateway(config, self._loop, SiblingEngine, MigratingServer, self._zones)
         self._gateway = gateway
-        self._limit_descriptors(descriptors)
+        set_descriptor_limit(gateway, descriptors)
         server = gateway.server
         assert isinstance(server, MigratingServer)
         self._migrations = Migrations(server)
@@ -187,16 +188,7 @@
 
     def _serve_operators(self, on: bool) -> None:
         """Start or pause the admin listener; only one process can use its address at a time."""
-        admin = self.gateway.admin
-        if admin is None:
-            return
-        if not on:
-            admin.pause()
-            return
-        try:
-            admin.start()
-        except OSError as error:  # clients are served nevertheless
-            log.error("cannot listen on the admin address: %s", error)
+        serve_operators(self.gateway, on)
 
     def _reload(self) -> None:
         """Handle SIGHUP: reload the configuration, or remember to do so after the start.
@@ -208,20 +200,6 @@
         else:
             self._gateway.reload(self._read_again)
 
-    def _limit_descriptors(self, limit: int) -> None:
-        """Set the limit on descriptors.
-
-        If more are open, idle connections to hosts are closed now, and busy ones once their answer
-        is complete. Client connections are not closed for this.
-        """
-        gateway = self.gateway
-        gateway.descriptors.limit = max(1, limit)
-        gateway.server.resize()
-        while (
-            gateway.upstream.descriptors_coming_free() < 0 and gateway.upstream.drop_oldest_idle()
-        ):
-            pass
-
     def _accepts(self) -> bool:
         return self._state.accepts
 
@@ -263,7 +241,7 @@
                 self.engine.learn(command.attempts, self._owns_slow_start())
             case LimitDescriptors():
                 more = self.gateway.descriptors.limit if command.more else -RESERVED
-                self._limit_descriptors(command.descriptors + more)
+                set_descriptor_limit(self.gateway, command.descriptors + more)
             case HoldBatch():
                 self.migrations.keep(command.batch, command.request_counts, self._descriptors)
                 self._descriptors = []
