An acknowledgement takes one call, with no context manager on the path of each request

Cause: contextlib.suppress makes an object and two calls for each answer.

Change: try and except around the one system call; what the exception means is said there.

--- a/quillroad/upstream/quick_ack.py
+++ b/quillroad/upstream/quick_ack.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 
 
@@ -30,7 +29,8 @@
         """Let the kernel acknowledge all data that was read, if it has not done so yet.
 
         The option does not last: the kernel delays acknowledgements again once it has sent data.
-        Does nothing where the system does not support it.
         """
-        with contextlib.suppress(OSError):
+        try:
             self.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+        except OSError:  # not TCP, or already reset by the host: there is nothing to acknowledge
+            return
