Stand-in hosts name the request they answer; accounts find foreign answers; a soak

Cause: the testbed's hosts answered every request with the same two bytes and set TCP_NODELAY, so that no failure test could see that a client got another one's answer, nor meet what a host's kernel holds back.

Change: an answer's body is the id of its request, the client keeps it, and rule_violations names each 200 whose body names another request.

--- a/testbed/__main__.py
+++ b/testbed/__main__.py
@@ -1,10 +1,11 @@
-"""`python -m testbed hosts|load|ration|relay JSON`: stand-ins and load as processes.
+"""`python -m testbed hosts|load|ration|relay|soak JSON`: stand-ins and load as processes.
 
 `hosts` starts stand-in hosts and a discovery, prints one JSON line with their ports, and serves
 until its standard input ends; then it prints how many requests each host received. `load` sends
 what its JSON says and prints one JSON line with the account. `core` pins the process. `ration`
 prints a line, and holds a process to a part of its core from then on. `relay` carries gateways'
-datagrams.
+datagrams. `soak` runs a gateway between hosts with faults for `seconds`, with draws by `seed`,
+prints the account as one JSON line, and ends with 1 where a rule was broken.
 """
 
 from __future__ import annotations
@@ -13,9 +14,11 @@
 import json
 import os
 import sys
+import tempfile
 from collections.abc import Sequence
 from dataclasses import asdict
 from http import HTTPStatus
+from pathlib import Path
 from typing import Any
 
 import uvloop
@@ -26,6 +29,7 @@
 from testbed.hosts import Discovery, Host
 from testbed.ration import ration
 from testbed.relay import run_relay
+from testbed.soak import soak
 
 SLOTS_PER_S = 10  # resolution of a load's picture over time
 
@@ -79,6 +83,14 @@
     print(json.dumps(_report(load, request_classes)))
 
 
+async def run_soak(options: dict[str, Any]) -> int:
+    """Run a soak and print its account; returns the exit status."""
+    with tempfile.TemporaryDirectory() as folder:
+        result = await soak(Path(folder), options["seconds"], options["seed"])
+    print(json.dumps(result.report()))
+    return 1 if result.violations or result.outcomes.unanswered else 0
+
+
 def _report(load: Load, request_classes: Sequence[RequestClass]) -> dict[str, Any]:
     """The account of a load as one JSON object; durations in seconds."""
     rows = {
@@ -118,6 +130,8 @@
         print(flush=True)
         ration(options["pid"], options["share"], options["period"], options["seconds"])
         return 0
+    if sys.argv[1] == "soak":
+        return uvloop.run(run_soak(options))
     uvloop.run({"hosts": run_hosts, "load": run_load, "relay": run_relay}[sys.argv[1]](options))
     return 0
 
--- a/testbed/account.py
+++ b/testbed/account.py
@@ -48,6 +48,7 @@
     done: float = 0.0  # last byte of the answer; 0: none came
     status: int = 0  # 0: no answer
     retry_after: float = 0.0
+    answered_for: str | None = None  # the request that the body of a 200 names; None: not read
 
     @property
     def took(self) -> float:
@@ -198,10 +199,10 @@
     Checked elsewhere: that every request has an answer (`OutcomeCounts.unanswered`), and that no
     warming host gets more than its budget (tests of slow start).
 
-    No gateway may report an answer that no host gave, send a request that no client asked for,
-    send one request more than `most_sends` times, use an idempotency key for two requests or after
-    its window, send anything to a draining host after the grace period, or answer 200 after the
-    client's deadline.
+    No gateway may report an answer that no host gave, serve a client with the answer to another
+    request, send a request that no client asked for, send one request more than `most_sends` times,
+    use an idempotency key for two requests or after its window, send anything to a draining host
+    after the grace period, or answer 200 after the client's deadline.
     """
     ordered = sorted(receipts, key=lambda receipt: receipt.at)
     sends = Counter(receipt.id for receipt in ordered)
@@ -260,6 +261,8 @@
     for record in records:
         if record.status == HTTPStatus.OK and not sends[record.id]:
             yield f"{record.id}: served, received by no host"
+        if record.answered_for not in (None, record.id):
+            yield f"{record.id}: served with the answer to {record.answered_for}"
         if (
             record.status == HTTPStatus.OK
             and record.took > record.client_timeout + LATE_READ_TOLERANCE_S
--- a/testbed/clients.py
+++ b/testbed/clients.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections.abc import Iterable, Sequence
+from http import HTTPStatus
 from typing import cast
 
 from quillroad.overload.socket_age import Socket, data_age
@@ -70,17 +71,20 @@
             size = int(_header(head, b"content-length"))
             if len(self._data) < body_at + size:
                 return
+            body = self._data[body_at : body_at + size]
             self._data = self._data[body_at + size :]
-            self._answered(head)
+            self._answered(head, body)
 
-    def _answered(self, head: bytes) -> None:
-        """Note a whole response, by its head in lower case, in the record of its request."""
+    def _answered(self, head: bytes, body: bytes) -> None:
+        """Note a whole response, its head in lower case, in the record of its request."""
         record = self.record
         self.record = None
         if record is not None:
             # When it came to this machine: a client that reads late makes no answer late.
             record.done = time.monotonic() - data_age(self._sock)
             record.status = int(head[9:12])
+            if record.status == HTTPStatus.OK:
+                record.answered_for = body.decode()
             record.retry_after = float(_header(head, b"retry-after"))
         keep = b"connection: close" not in head
         if not keep and self.transport is not None:
--- a/testbed/hosts.py
+++ b/testbed/hosts.py
@@ -7,11 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import random
+import socket
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any, cast
 
+from quillroad.upstream.quick_ack import BorrowedSocket
 from testbed.account import Receipt
 from testbed.lines import gateway_at
 
@@ -19,10 +24,33 @@
 HOSTS_AT = b'"127.0.0.1:'  # how an address of a host begins in a line of discovery
 BACKLOG = 1024  # connects that wait at a host: a whole storm of gateways' first connects
 KEEPALIVE_S = 2.0  # the protocol's interval of empty lines on a watch
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+FIRST_WRITE_S = 0.0005  # for the event loop to write an answer, before a second one follows
+# A second answer that this process could not write in time is left out: so late, one may meet the
+# next request on its way, and no gateway can tell it from that request's answer.
+MAX_SECOND_ANSWER_DELAY_S = 0.015
 
 
-def field(head: bytes, name: bytes) -> bytes:
+def answer_to(request: str) -> bytes:
+    """The answer to a request, which names it, so that its client sees whose answer it got."""
+    body = request.encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+@dataclass(slots=True)
+class SecondAnswers:
+    """A fault: a host writes some of its answers twice, where no other request waits for one.
+
+    `fraction` (0 to 1) is how many, `max_late_s` how long after the answer in seconds at the most,
+    below `MAX_SECOND_ANSWER_DELAY_S`; `draw` decides both. `written` counts them.
+    """
+
+    fraction: float
+    max_late_s: float
+    draw: random.Random
+    written: int = field(default=0, init=False)
+
+
+def header_value(head: bytes, name: bytes) -> bytes:
     """A header's value in a head given in lower case; empty where there is none."""
     at = head.find(b"\r\n" + name + b": ")
     return head[at + len(name) + 4 :].split(b"\r\n", 1)[0] if at >= 0 else b""
@@ -34,12 +62,15 @@
     def __init__(self, host: Host) -> None:
         self._host = host
         self._data = b""
+        self._unanswered = 0  # requests received
         self.transport: asyncio.Transport | None = None
         self.by = -1  # the gateway at the other end
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, and note which gateway it is, if it came through the relay."""
         self.transport = cast(asyncio.Transport, transport)
+        self._socket = BorrowedSocket(transport.get_extra_info("socket").fileno())
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, self._host.nodelay)
         self.by = gateway_at(transport.get_extra_info("peername")[0])
         self._host.connections.add(self)
         self._host.connects += 1
@@ -54,29 +85,51 @@
         self._data += data
         while (end := self._data.find(HEAD_END)) >= 0:
             head = self._data[:end].lower()
-            request_end = end + len(HEAD_END) + int(field(head, b"content-length") or 0)
+            request_end = end + len(HEAD_END) + int(header_value(head, b"content-length") or 0)
             if len(self._data) < request_end:
                 return
             self._data = self._data[request_end:]
-            key = field(head, b"idempotency-key").decode()
-            self._host.received(self, field(head, b"request-id").decode(), key)
+            key = header_value(head, b"idempotency-key").decode()
+            self._unanswered += 1
+            self._host.received(self, header_value(head, b"request-id").decode(), key)
 
-    def answer(self) -> None:
-        """Send the answer, if the connection is still open."""
-        if self.transport is not None:
-            self.transport.write(ANSWER)
+    def answer(self, request: str) -> None:
+        """Send the answer to a request, if the connection is still open."""
+        if self.transport is None:
+            return
+        self._unanswered -= 1
+        self.transport.write(answer_to(request))
+        faults = self._host.second_answers
+        if faults is not None and faults.draw.random() < faults.fraction:
+            late_s = FIRST_WRITE_S + faults.draw.uniform(0.0, faults.max_late_s)
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_s, self._answer_again, faults, request, time.monotonic())
+
+    def _answer_again(self, faults: SecondAnswers, request: str, answered_at: float) -> None:
+        """Write the answer a second time, by a system call of its own."""
+        if self.transport is None or self.transport.is_closing() or self._unanswered:
+            return
+        if time.monotonic() - answered_at >= MAX_SECOND_ANSWER_DELAY_S:
+            return
+        with contextlib.suppress(OSError):  # the gateway has closed the connection
+            self._socket.send(answer_to(request))
+            faults.written += 1
 
 
 class Host:
     """One stand-in host on 127.0.0.1.
 
-    `delay` is the time in seconds to an answer; while `hangs` it answers nothing.
+    `delay` is the time in seconds to an answer; while `hangs` it answers nothing. `nodelay` sets
+    TCP_NODELAY on new connections, which the system leaves unset. `second_answers` is a fault that
+    it has, or None.
     """
 
     def __init__(self, name: str, delay: float = 0.0, zone: str = "room") -> None:
         self.name = name
         self.delay = delay
         self.hangs = False
+        self.nodelay = False
+        self.second_answers: SecondAnswers | None = None
         self.zone = zone
         self.port = 0
         self.connects = 0
@@ -102,9 +155,9 @@
         if self.hangs:
             return
         if self.delay > 0:
-            asyncio.get_running_loop().call_later(self.delay, connection.answer)
+            asyncio.get_running_loop().call_later(self.delay, connection.answer, request)
         else:
-            connection.answer()
+            connection.answer(request)
 
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Its entry in the endpoint list, with changes."""
--- a/tests/testbed/test_account.py
+++ b/tests/testbed/test_account.py
@@ -63,3 +63,13 @@
             is wrong
         )
     assert "an id twice" in rule_violations([record("a", 503)] * 2, [], [REQUEST_CLASS])[0]
+
+
+def test_an_answer_to_another_request_is_found() -> None:
+    """An account that only counts answers cannot see that two clients got each other's."""
+    own, foreign = record("a", 200), record("b", 200)
+    own.answered_for = foreign.answered_for = "a"
+    receipts = [Receipt("a", "s-1", 5.0), Receipt("b", "s-1", 5.1)]
+    assert rule_violations([own], receipts[:1], [REQUEST_CLASS]) == []
+    violations = rule_violations([own, foreign], receipts, [REQUEST_CLASS])
+    assert violations == ["b: served with the answer to a"]
--- a/tests/upgrade/test_upgrades.py
+++ b/tests/upgrade/test_upgrades.py
@@ -288,7 +288,7 @@
         for host in setup.environment.hosts:
             host.hangs = False
             for connection in host.connections:
-                connection.answer()
+                connection.answer(record.id)
         sock.setblocking(False)
         got = await asyncio.get_running_loop().sock_recv(sock, 4096)
         assert got.startswith(b"HTTP/1.1 200")
