Tests of what a start imports share one list of the loaded modules

Cause: three tests ran the same program and filtered what it printed, each with code of its own; two of them left quillroad.gateway out, one quillroad.__main__.

Change: tests/imported_modules.py loads all three and returns the names; the tests filter them as before.

Result: the three pass; with quillroad.zones and msgspec planted, the two that forbid them fail.

--- a/tests/membership/test_settings.py
+++ b/tests/membership/test_settings.py
@@ -15,6 +15,7 @@
 from quillroad.config import Config, ConfigError, Peers
 from quillroad.membership.report import MemberLine, Report, write_report
 from quillroad.membership.settings import load_fleet
+from tests.imported_modules import modules_loaded_at_start
 from tests.net import make_config
 
 ROOT = Path(__file__).parent.parent.parent
@@ -151,14 +152,6 @@
 
 
 def test_the_package_is_not_imported_while_membership_is_off() -> None:
-    import subprocess  # noqa: PLC0415
-    import sys  # noqa: PLC0415
-
-    code = (
-        "import sys, quillroad.gateway, quillroad.start; "
-        "print([m for m in sys.modules if 'fleet' in m or 'quillroad.membership' in m])"
-    )
-    done = subprocess.run(
-        [sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT
-    )
-    assert done.stdout.strip() == "[]"
+    unwanted = ("fleet", "quillroad.membership")
+    loaded = modules_loaded_at_start()
+    assert [name for name in loaded if any(part in name for part in unwanted)] == []
--- a/tests/upgrade/test_upgrades.py
+++ b/tests/upgrade/test_upgrades.py
@@ -31,6 +31,7 @@
 from testbed.gateway import ROOT
 from testbed.hosts import Discovery
 from testbed.schedule import steady
+from tests.imported_modules import modules_loaded_at_start
 from tests.net import on_loop, until
 from tests.upgrade.quick import FILE
 
@@ -587,20 +588,8 @@
 
 
 def test_disabled_upgrades_are_not_imported() -> None:
-    code = (
-        "import sys, quillroad.__main__, quillroad.start\n"
-        "names = ('quillroad.upgrade', 'msgspec', 'click')\n"
-        "print([name for name in sys.modules if name.startswith(names)])"
-    )
-    done = subprocess.run(
-        [sys.executable, "-c", code],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=20,
-        check=True,
-    )
-    assert done.stdout.strip() == "[]"
+    unwanted = ("quillroad.upgrade", "msgspec", "click")
+    assert [name for name in modules_loaded_at_start() if name.startswith(unwanted)] == []
 
 
 @on_loop
--- a/tests/zones/test_zones.py
+++ b/tests/zones/test_zones.py
@@ -20,6 +20,7 @@
 from testbed.gateway import ROOT
 from testbed.hosts import Host
 from testbed.schedule import steady
+from tests.imported_modules import modules_loaded_at_start
 from tests.net import on_loop, until
 
 REQUEST_CLASSES = [
@@ -337,17 +338,5 @@
 
 
 def test_modules_of_disabled_features_are_not_imported() -> None:
-    code = (
-        "import sys, quillroad.__main__, quillroad.start\n"
-        "off = ('quillroad.zones', 'quillroad.balancing.zone_routing', 'msgspec')\n"
-        "print([name for name in sys.modules if name.startswith(off)])"
-    )
-    done = subprocess.run(
-        [sys.executable, "-c", code],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=20,
-        check=True,
-    )
-    assert done.stdout.strip() == "[]"
+    unwanted = ("quillroad.zones", "quillroad.balancing.zone_routing", "msgspec")
+    assert [name for name in modules_loaded_at_start() if name.startswith(unwanted)] == []
