A soak says for each foreign answer when its host wrote it, and when the requests came

Its account could not tell a stand-in that was held up between its look at the clock and its write from a fault of the gateway.

Change: hosts keep the times of each second answer, before and after its write, and the soak's result lists them for each foreign answer beside the times of the requests.

--- a/testbed/hosts.py
+++ b/testbed/hosts.py
@@ -36,18 +36,37 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
+@dataclass(frozen=True, slots=True)
+class SecondAnswer:
+    """An answer that a host wrote twice: when it was answered, and when the second write was.
+
+    Times are of the monotonic clock, in seconds; the write began and ended between the last two.
+    """
+
+    answered_at: float
+    write_began_at: float
+    write_ended_at: float
+    nodelay: bool
+
+    def __str__(self) -> str:
+        began_ms = (self.write_began_at - self.answered_at) * 1e3
+        ended_ms = (self.write_ended_at - self.answered_at) * 1e3
+        socket_kind = "with" if self.nodelay else "without"
+        return f"again after {began_ms:.1f} to {ended_ms:.1f} ms, {socket_kind} TCP_NODELAY"
+
+
 @dataclass(slots=True)
 class SecondAnswers:
     """A fault: a host writes some of its answers twice, where no other request waits for one.
 
     `fraction` (0 to 1) is how many, `max_late_s` how long after the answer in seconds at the most,
-    below `MAX_SECOND_ANSWER_DELAY_S`; `draw` decides both. `written` counts them.
+    below `MAX_SECOND_ANSWER_DELAY_S`; `draw` decides both. `written` has them by request.
     """
 
     fraction: float
     max_late_s: float
     draw: random.Random
-    written: int = field(default=0, init=False)
+    written: dict[str, SecondAnswer] = field(default_factory=dict, init=False)
 
 
 def header_value(head: bytes, name: bytes) -> bytes:
@@ -109,11 +128,16 @@
         """Write the answer a second time, by a system call of its own."""
         if self.transport is None or self.transport.is_closing() or self._unanswered:
             return
-        if time.monotonic() - answered_at >= MAX_SECOND_ANSWER_DELAY_S:
+        answer = answer_to(request)
+        began_at = time.monotonic()
+        if began_at - answered_at >= MAX_SECOND_ANSWER_DELAY_S:
             return
         with contextlib.suppress(OSError):  # the gateway has closed the connection
-            self._socket.send(answer_to(request))
-            faults.written += 1
+            self._socket.send(answer)
+            ended_at = time.monotonic()
+            faults.written[request] = SecondAnswer(
+                answered_at, began_at, ended_at, self._host.nodelay
+            )
 
 
 class Host:
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -8,12 +8,20 @@
 
 import asyncio
 import random
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
-from testbed.account import OutcomeCounts, RequestClass, count_outcomes, total
+from testbed.account import (
+    OutcomeCounts,
+    Receipt,
+    Record,
+    RequestClass,
+    count_outcomes,
+    total,
+)
 from testbed.environment import Environment
 from testbed.hosts import Host, SecondAnswers
 from testbed.schedule import poisson
@@ -32,6 +40,7 @@
 MAX_LATE_S = 0.010
 FAULT_INTERVAL_S = 3.0
 FAULT_S = 1.0
+MS_PER_S = 1e3
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +51,7 @@
     second_answers: int  # that hosts wrote
     faults: dict[str, int]  # how often hosts hung and drained
     violations: list[str]
+    foreign_answers: list[str]  # when hosts received and wrote what, for each foreign answer
 
     def report(self) -> dict[str, Any]:
         """The result as plain values for JSON, without the durations of all requests."""
@@ -68,7 +78,38 @@
         outcomes = total(count_outcomes(load.records, REQUEST_CLASSES).values())
         (counts,) = await asyncio.gather(trouble, return_exceptions=True)
         assert isinstance(counts, Counter), counts
-        return SoakResult(outcomes, faults.written, dict(counts), environment.violations(load))
+        return SoakResult(
+            outcomes,
+            len(faults.written),
+            dict(counts),
+            environment.violations(load),
+            list(_foreign_answers(environment, load.records, faults)),
+        )
+
+
+def _foreign_answers(
+    environment: Environment, records: Sequence[Record], faults: SecondAnswers
+) -> Iterator[str]:
+    """Times of both requests of each foreign answer, in ms since the other one was answered."""
+    by_id = {record.id: record for record in records}
+    receipts: defaultdict[str, list[Receipt]] = defaultdict(list)
+    for receipt in environment.receipts():
+        receipts[receipt.id].append(receipt)
+    for record in records:
+        if record.answered_for in (None, record.id):
+            continue
+        other = by_id.get(record.answered_for or "")
+        second = faults.written.get(record.answered_for or "")
+        began = record.sent if other is None else other.done
+        received = ", ".join(
+            f"{receipt.host} at {(receipt.at - began) * MS_PER_S:.1f}"
+            for receipt in receipts[record.id]
+        )
+        yield (
+            f"{record.id}: sent at {(record.sent - began) * MS_PER_S:.1f}, received by {received},"
+            f" answered at {(record.done - began) * MS_PER_S:.1f} with the answer to"
+            f" {record.answered_for}, which its host wrote {second or 'once'}"
+        )
 
 
 async def _trouble_hosts(environment: Environment, draw: random.Random) -> Counter[str]:
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -17,6 +17,6 @@
     answer, and no rule is broken.
     """
     result = await soak(tmp_path, SECONDS, SEED)
-    assert result.violations == []
+    assert (result.violations, result.foreign_answers) == ([], [])
     assert result.outcomes.unanswered == 0
     assert result.second_answers > 0
