--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,11 +1,11 @@
-"""A long outage of discovery, and a drain that the agent has at its return: does the drain hold?"""
+"""Two processes of an upgrade each get an operator's call at once: do both hosts stay out?"""
 
 from __future__ import annotations
 
 import asyncio
-import json
-import secrets
+import signal
 import sys
+import time
 from pathlib import Path
 from typing import NamedTuple
 
@@ -13,128 +13,121 @@
 
 from standins_2 import (
     LOOPBACK,
-    Discovery,
-    Host,
+    Deployment,
     Process,
     Record,
-    free_port,
+    call,
     get_request,
     main,
     read_answer,
-    settings,
     trouble,
-    until_yes,
 )
 
-GATEWAYS = 3
-HOSTS = 9
+HOSTS = 10
 HOST_S = 0.03
-CLIENTS = 6  # of each gateway, each with a connection and a request at a time
+CLIENTS = 8  # connections, each with a request at a time
 PAUSE_S = 0.02  # of a client between two requests
-START_SPREAD_S = 0.6  # between the starts of two gateways: 1.2 s in all, the site has up to 1.4 s
-OUTAGE_S = 40.0
-WATCHED_S = 4.0  # after the return
+UPGRADES = 8
+OUT_S = 2.5  # for which the hosts stay out by hand, of which the last part is judged
 GRACE_S = 0.55  # of the rule on drains, with the 50 ms that sockets get
-DRAINED = "s-3"
-
-
-class Gateway(NamedTuple):
-    """A gateway with the agent on its machine."""
-
-    process: Process
-    port: int
-    agent: Discovery
-
-
-async def start_gateway(
-    number: int, hosts: list[Host], record: Record, folder: Path, processes: list[Process]
-) -> Gateway:
-    """Start one gateway and its agent; return them once the gateway is ready."""
-    agent = Discovery([host.entry() for host in hosts], record)
-    await agent.start()
-    port = free_port()
-    config = {
-        "name": f"n{number}",
-        "listen": f"{LOOPBACK}:{port}",
-        "discovery": f"{LOOPBACK}:{agent.port}",
-        "seed": secrets.token_hex(8),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": agent.whole(),
-        "settings": settings(balancers=GATEWAYS, my_number=number),
-    }
-    path = folder / f"config-{number}.json"
-    path.write_text(json.dumps(config), encoding="utf-8")
-    process = Process(f"gateway-{number}", folder, record)
-    processes.append(process)
-    await process.start(
-        {
-            "GW_CONFIG": str(path),
-            "GW_LISTEN": str(config["listen"]),
-            "GW_DISCOVERY": str(config["discovery"]),
-            "GW_NAME": str(config["name"]),
-            "TMPDIR": str(folder),
-        }
-    )
-    await until_yes(process, port, "/up")
-    return Gateway(process, port, agent)
+DEADLINE_S = 1.9
+KILL_AFTER_S = DEADLINE_S + 0.7
+
+
+class Out(NamedTuple):
+    """A host out by hand: from the yes until the call that puts it back."""
+
+    host: str
+    yes_at: float
+    until: float
 
 
 async def client(port: int, name: str, stop: asyncio.Event) -> None:
     """Send one status-check after the other on a kept connection."""
     number = 0
     while not stop.is_set():
-        reader, writer = await asyncio.open_connection(LOOPBACK, port)
-        keep = True
-        while keep and not stop.is_set():
-            number += 1
-            writer.write(get_request(f"{name}-{number}"))
-            keep = (await read_answer(reader)).keep
+        try:
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
+            keep = True
+            while keep and not stop.is_set():
+                number += 1
+                writer.write(get_request(f"{name}-{number}"))
+                keep = (await read_answer(reader)).keep
+                await asyncio.sleep(PAUSE_S)
+            writer.close()
+        except OSError:
             await asyncio.sleep(PAUSE_S)
-        writer.close()
+
+
+async def take_out(record: Record, process: Process, host: str) -> Out | None:
+    """Call a process to take a host out of service; return from when it is out."""
+    status = await call(process.admin, "POST", f"/hosts/{host}/maint")
+    record.note(f"operator: maint {host} at {process.name}: {status}")
+    return Out(host, time.monotonic(), 0.0) if status == 200 else None
+
+
+async def put_back(record: Record, process: Process, host: str) -> None:
+    """Call a process to put a host back into service."""
+    status = await call(process.admin, "POST", f"/hosts/{host}/ready")
+    record.note(f"operator: ready {host} at {process.name}: {status}")
+
+
+async def upgrade(
+    deployment: Deployment, old: Process, new: Process, record: Record, number: int
+) -> list[Out]:
+    """Take two hosts out during the overlap, end the old process, and put both back later.
+
+    With the disruption the two calls go to the two processes at the same time; without it, one goes
+    to each after the other was answered.
+    """
+    names = [deployment.hosts[(2 * number + i) % HOSTS].name for i in range(2)]
+    if trouble():
+        taken = await asyncio.gather(
+            take_out(record, old, names[0]), take_out(record, new, names[1])
+        )
+    else:
+        taken = [await take_out(record, old, names[0]), await take_out(record, new, names[1])]
+    old.signal(signal.SIGTERM)
+    if not await old.wait(KILL_AFTER_S):
+        await old.kill()
+    await asyncio.sleep(OUT_S)
+    until = time.monotonic()
+    for name in names:
+        await put_back(record, new, name)
+    return [out._replace(until=until) for out in taken if out is not None]
 
 
 async def case(record: Record, folder: Path, processes: list[Process]) -> list[str]:
-    """Play the case; return a line for each gateway that sent to the draining host too late."""
-    hosts = [Host(f"s-{number}", record, HOST_S) for number in range(HOSTS)]
-    for host in hosts:
-        await host.start()
-    gateways = []
-    for number in range(GATEWAYS):
-        next_start = asyncio.create_task(asyncio.sleep(START_SPREAD_S))
-        gateways.append(await start_gateway(number, hosts, record, folder, processes))
-        await next_start
+    """Play the case; return one line for each host that got requests while out by hand."""
+    deployment = Deployment(record, folder, HOSTS, HOST_S)
+    await deployment.start()
+    serving = await deployment.start_process("process-0", processes)
     stop = asyncio.Event()
     clients = [
-        asyncio.create_task(client(gateway.port, f"g{number}-c{i}", stop))
-        for number, gateway in enumerate(gateways)
-        for i in range(CLIENTS)
+        asyncio.create_task(client(deployment.port, f"c{number}", stop))
+        for number in range(CLIENTS)
     ]
-    await asyncio.sleep(2.0)
-    if trouble():
-        for gateway in gateways:
-            gateway.agent.go_down()
-    await asyncio.sleep(OUTAGE_S)
-    for gateway in gateways:
-        gateway.agent.come_back()
-        told_at = gateway.agent.tell(DRAINED, lifecycle="draining")
-    await asyncio.sleep(WATCHED_S)
+    outs: list[Out] = []
+    for number in range(UPGRADES):
+        new = await deployment.start_process(f"process-{number + 1}", processes)
+        outs += await upgrade(deployment, serving, new, record, number)
+        serving = new
+        await asyncio.sleep(0.5)
     stop.set()
     await asyncio.gather(*clients)
-    for one in (*hosts, *(gateway.agent for gateway in gateways)):
-        one.stop()
-    late = [
-        receipt
-        for host in hosts
-        for receipt in host.receipts
-        if host.name == DRAINED and receipt.at > told_at + GRACE_S
-    ]
+    deployment.stop()
     broken = []
-    for number in range(GATEWAYS):
-        own = [receipt for receipt in late if receipt.request.startswith(f"g{number}-")]
-        if own:
+    for out in outs:
+        late = [
+            receipt
+            for receipt in deployment.receipts()
+            if receipt.host == out.host and out.yes_at + GRACE_S < receipt.at < out.until
+        ]
+        if late:
             broken.append(
-                f"gateway {number}: {DRAINED} drains since {record.at(told_at):.3f} and got "
-                f"{len(own)} requests after the grace, the last at {record.at(own[-1].at):.3f}"
+                f"host {out.host} was out by hand from {record.at(out.yes_at):.3f} to "
+                f"{record.at(out.until):.3f} and got {len(late)} requests after the grace, the "
+                f"first at {record.at(late[0].at):.3f} ({late[0].request})"
             )
     return broken
 
