--- a/review/7/case.py
+++ b/review/7/case.py
@@ -109,6 +109,7 @@
     """Send all requests at once, and go; return when the connection was closed."""
     _, writer = await asyncio.open_connection(LOOPBACK, port)
     writer.write(many_requests(name))
+    record.note(f"client {name} sends {name}-0 to {name}-{AT_ONCE - 1}")
     await asyncio.sleep(STAYS_S)
     writer.close()
     await writer.wait_closed()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,14 +12,12 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from standins_2 import (
-    LOOPBACK,
     Deployment,
     Process,
     Record,
+    ask_steadily,
     call,
-    get_request,
     main,
-    read_answer,
     trouble,
 )
 
@@ -42,23 +40,6 @@
     until: float
 
 
-async def client(port: int, name: str, stop: asyncio.Event) -> None:
-    """Send one status-check after the other on a kept connection."""
-    number = 0
-    while not stop.is_set():
-        try:
-            reader, writer = await asyncio.open_connection(LOOPBACK, port)
-            keep = True
-            while keep and not stop.is_set():
-                number += 1
-                writer.write(get_request(f"{name}-{number}"))
-                keep = (await read_answer(reader)).keep
-                await asyncio.sleep(PAUSE_S)
-            writer.close()
-        except OSError:
-            await asyncio.sleep(PAUSE_S)
-
-
 async def take_out(record: Record, process: Process, host: str) -> Out | None:
     """Call a process to take a host out of service; return from when it is out."""
     status = await call(process.admin, "POST", f"/hosts/{host}/maint")
@@ -104,7 +85,7 @@
     serving = await deployment.start_process("process-0", processes)
     stop = asyncio.Event()
     clients = [
-        asyncio.create_task(client(deployment.port, f"c{number}", stop))
+        asyncio.create_task(ask_steadily(deployment.port, f"c{number}", PAUSE_S, stop, record))
         for number in range(CLIENTS)
     ]
     outs: list[Out] = []
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -17,10 +17,9 @@
     Host,
     Process,
     Record,
+    ask_steadily,
     free_port,
-    get_request,
     main,
-    read_answer,
     settings,
     trouble,
     until_yes,
@@ -79,20 +78,6 @@
     return Gateway(process, port, agent)
 
 
-async def client(port: int, name: str, stop: asyncio.Event) -> None:
-    """Send one status-check after the other on a kept connection."""
-    number = 0
-    while not stop.is_set():
-        reader, writer = await asyncio.open_connection(LOOPBACK, port)
-        keep = True
-        while keep and not stop.is_set():
-            number += 1
-            writer.write(get_request(f"{name}-{number}"))
-            keep = (await read_answer(reader)).keep
-            await asyncio.sleep(PAUSE_S)
-        writer.close()
-
-
 async def case(record: Record, folder: Path, processes: list[Process]) -> list[str]:
     """Play the case; return a line for each gateway that sent to the draining host too late."""
     hosts = [Host(f"s-{number}", record, HOST_S) for number in range(HOSTS)]
@@ -105,7 +90,7 @@
         await next_start
     stop = asyncio.Event()
     clients = [
-        asyncio.create_task(client(gateway.port, f"g{number}-c{i}", stop))
+        asyncio.create_task(ask_steadily(gateway.port, f"g{number}-c{i}", PAUSE_S, stop, record))
         for number, gateway in enumerate(gateways)
         for i in range(CLIENTS)
     ]
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -417,6 +418,29 @@
     ).encode()
 
 
+async def ask_steadily(
+    port: int, name: str, pause_s: float, stop: asyncio.Event, record: Record
+) -> None:
+    """Send one status-check after the other on a kept connection, until `stop` is set."""
+    number = 0
+    while not stop.is_set():
+        try:
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
+        except OSError as error:
+            record.note(f"client {name} could not connect: {error}")
+            await asyncio.sleep(pause_s)
+            continue
+        keep = True
+        while keep and not stop.is_set():
+            number += 1
+            writer.write(get_request(f"{name}-{number}"))
+            answer = await read_answer(reader)
+            record.note(f"client {name}-{number}: {answer.status or 'connection ended'}")
+            keep = answer.keep
+            await asyncio.sleep(pause_s)
+        writer.close()
+
+
 def post_request(request: str, size: int, timeout_ms: int = 1900) -> tuple[bytes, bytes]:
     """Return head and body of a seat-checkout."""
     head = (
@@ -496,8 +520,8 @@
     try:
         async with asyncio.timeout(limit_s):
             broken = await case(record, folder, processes)
-    except (CannotRunError, OSError, TimeoutError) as error:
-        record.note(f"could not run: {type(error).__name__} {error}")
+    except Exception:  # whatever it is, it says nothing about the rule
+        record.note(f"could not run: {traceback.format_exc()}")
         return CANNOT_RUN
     finally:
         for process in processes:
