Testbed: floods of clients that make a gateway hold memory or spend core time

`python -m testbed flood` runs one kind of flood in a process of its own; hosts may give long answers.

--- a/testbed/__main__.py
+++ b/testbed/__main__.py
@@ -1,8 +1,9 @@
-"""`python -m testbed hosts|load|ration|relay|soak JSON`: stand-ins and load as processes.
+"""`python -m testbed hosts|load|flood|ration|relay|soak JSON`: stand-ins and load as processes.
 
 `hosts` starts stand-in hosts and a discovery, prints one JSON line with their ports, and serves
 until its standard input ends; then it prints how many requests each host received. `load` sends
-what its JSON says and prints one JSON line with the account. `core` pins the process. `ration`
+what its JSON says and prints one JSON line with the account. `flood` sends one kind of flood
+(`floods.py`) and prints what its clients did. `core` pins the process. `ration`
 prints a line, and holds a process to a part of its core from then on. `relay` carries gateways'
 datagrams. `soak` runs a gateway between hosts with faults for `seconds`, with draws by `seed`,
 prints the account as one JSON line, and ends with 1 where a rule was broken.
@@ -26,6 +27,7 @@
 from testbed import schedule
 from testbed.account import Record, RequestClass, count_outcomes
 from testbed.clients import Load
+from testbed.floods import Flood, FloodKind
 from testbed.hosts import Discovery, Host
 from testbed.ration import ration
 from testbed.relay import run_relay
@@ -37,11 +39,14 @@
 async def run_hosts(options: dict[str, Any]) -> None:
     """Serve as hosts and discovery until standard input ends.
 
-    `options`: `count` hosts, each of which answers after `delay` seconds.
+    `options`: `count` hosts, each of which answers after `delay` seconds, with `answer_bytes` to
+    requests for a long answer.
     """
     hosts = [
         await Host(f"s-{i}", options.get("delay", 0.0)).start() for i in range(options["count"])
     ]
+    for host in hosts:
+        host.long_answer_bytes = options.get("answer_bytes", 0)
     discovery = await Discovery(hosts).start()
     print(
         json.dumps({"discovery": discovery.port, "hosts": [host.port for host in hosts]}),
@@ -83,6 +88,16 @@
     print(json.dumps(_report(load, request_classes)))
 
 
+async def run_flood(options: dict[str, Any]) -> None:
+    """Flood a gateway and print what the clients did.
+
+    `options`: the gateway's `host` and `port`, the `kind`, `connections` and `seconds`.
+    """
+    address = (options["host"], options["port"])
+    flood = Flood(address, FloodKind(options["kind"]), options["connections"])
+    print(json.dumps(asdict(await flood.run(options["seconds"]))))
+
+
 async def run_soak(options: dict[str, Any]) -> int:
     """Run a soak and print its account; returns the exit status."""
     with tempfile.TemporaryDirectory() as folder:
@@ -132,7 +147,8 @@
         return 0
     if sys.argv[1] == "soak":
         return uvloop.run(run_soak(options))
-    uvloop.run({"hosts": run_hosts, "load": run_load, "relay": run_relay}[sys.argv[1]](options))
+    parts = {"hosts": run_hosts, "load": run_load, "flood": run_flood, "relay": run_relay}
+    uvloop.run(parts[sys.argv[1]](options))
     return 0
 
 
--- a/testbed/hosts.py
+++ b/testbed/hosts.py
@@ -36,6 +36,11 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
+def _long_answer(size: int) -> bytes:
+    """An answer of so many bytes, which names no request."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (size, b"x" * size)
+
+
 @dataclass(frozen=True, slots=True)
 class SecondAnswer:
     """An answer that a host wrote twice: when it was answered, and when the second write was.
@@ -82,6 +87,7 @@
         self._host = host
         self._data = b""
         self._unanswered = 0  # requests received
+        self._asks_long = False  # the latest request is for a long answer
         self.transport: asyncio.Transport | None = None
         self.by = -1  # the gateway at the other end
 
@@ -110,6 +116,7 @@
             self._data = self._data[request_end:]
             key = header_value(head, b"idempotency-key").decode()
             self._unanswered += 1
+            self._asks_long = b" /status-check/long " in head
             self._host.received(self, header_value(head, b"request-id").decode(), key)
 
     def answer(self, request: str) -> None:
@@ -117,6 +124,9 @@
         if self.transport is None:
             return
         self._unanswered -= 1
+        if self._asks_long and self._host.long_answer_bytes:
+            self.transport.write(_long_answer(self._host.long_answer_bytes))
+            return
         self.transport.write(answer_to(request))
         faults = self._host.second_answers
         if faults is not None and faults.draw.random() < faults.fraction:
@@ -145,7 +155,7 @@
 
     `delay` is the time in seconds to an answer; while `hangs` it answers nothing. `nodelay` sets
     TCP_NODELAY on new connections, which the system leaves unset. `second_answers` is a fault that
-    it has, or None.
+    it has, or None. Requests for the key `long` get `long_answer_bytes`, unless that is 0.
     """
 
     def __init__(self, name: str, delay: float = 0.0, zone: str = "room") -> None:
@@ -153,6 +163,7 @@
         self.delay = delay
         self.hangs = False
         self.nodelay = False
+        self.long_answer_bytes = 0
         self.second_answers: SecondAnswers | None = None
         self.zone = zone
         self.port = 0
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -57,8 +57,14 @@
 class HostsProcess:
     """Stand-in hosts and their discovery, in a process of their own."""
 
-    def __init__(self, count: int, delay: float = 0.0, core: int | None = None) -> None:
-        self._options: dict[str, Any] = {"count": count, "delay": delay}
+    def __init__(
+        self, count: int, delay: float = 0.0, core: int | None = None, answer_bytes: int = 0
+    ) -> None:
+        self._options: dict[str, Any] = {
+            "count": count,
+            "delay": delay,
+            "answer_bytes": answer_bytes,
+        }
         if core is not None:
             self._options["core"] = core
         self.discovery_port = 0
