--- a/quillroad/admin/listener.py
+++ b/quillroad/admin/listener.py
@@ -37,6 +37,8 @@
 # Maximum size of a whole call, and of its body, which is read but ignored: no call needs one.
 MAX_CALL_BYTES = 16 * 1024
 MAX_BODY_BYTES = 4 * 1024
+# Maximum number of headers, whose objects take more memory than their bytes.
+MAX_HEADER_FIELDS = 128
 
 
 class _CallConnection(asyncio.Protocol):
@@ -64,7 +66,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the parser and the timer, and free the connection's place in the listener."""
         self._transport = None
-        self._parser = None  # breaks a reference cycle, which would last until a garbage collection
+        # Both are parts of reference cycles, which would last until a garbage collection.
+        self._parser = None
+        self._bad_request = None
         self._timer.cancel()
         self._listener.discard(self)
 
@@ -72,6 +76,8 @@
         """Parse bytes of the call; respond once the call is complete, malformed or too long."""
         if self.answered or self._parser is None:
             return
+        # What exceeds the limit is not parsed: a read can have much more, and costly input.
+        data = data[: MAX_CALL_BYTES + 1 - self._bytes_read]
         self._bytes_read += len(data)
         try:
             self._parser.feed_data(data)
@@ -102,9 +108,13 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers are ignored."""
-        if self._in_head:
-            self._headers.append((name, value.strip()))
+        """Store a header, up to `MAX_HEADER_FIELDS`; trailers are ignored."""
+        if not self._in_head:
+            return
+        if len(self._headers) == MAX_HEADER_FIELDS:
+            self._bad_request = BadRequestError(431, "a call with too many headers")
+            raise self._bad_request
+        self._headers.append((name, value.strip()))
 
     def on_headers_complete(self) -> None:
         """Raise `BadRequestError` if the framing is ambiguous or the declared body too long."""
--- a/quillroad/config/__init__.py
+++ b/quillroad/config/__init__.py
@@ -7,6 +7,7 @@
 
 from quillroad.config.model import (
     LONG_BODY,
+    MAX_PEER_MEMORY_BYTES,
     RESERVED,
     SHORT_BODY,
     Address,
@@ -24,6 +25,7 @@
 
 __all__ = [
     "LONG_BODY",
+    "MAX_PEER_MEMORY_BYTES",
     "RESERVED",
     "SHORT_BODY",
     "Address",
--- a/quillroad/config/model.py
+++ b/quillroad/config/model.py
@@ -15,8 +15,9 @@
 SHORT_BODY = 64 * 1024
 # Maximum size of a body in bytes where an admin address is configured; otherwise SHORT_BODY.
 LONG_BODY = 32 * 1024 * 1024
-# Memory for all long bodies at once: the maximum, and the default without a memory limit.
-MAX_BODY_BUDGET_BYTES = 24 * 1024 * 1024
+# Memory for all that peers make the process hold beyond the allowance of each connection: the
+# maximum, and the default without a memory limit.
+MAX_PEER_MEMORY_BYTES = 48 * 1024 * 1024
 # Descriptors reserved for other purposes than connections. One process uses up to 22 (standard
 # streams, event loop and its signals, listener, 8 calls to discovery), besides those that it
 # inherited at its start (`inherited_descriptors`). The rest is for the few connections that the
@@ -143,7 +144,7 @@
     register: Register | None = None
     admin: Address | None = None  # listener for operators; None: no listener
     longest_body: int = SHORT_BODY  # bytes of a request or response body, at least SHORT_BODY
-    body_budget_bytes: int = MAX_BODY_BUDGET_BYTES  # of long bodies in memory at once
+    peer_memory_bytes: int = MAX_PEER_MEMORY_BYTES  # for `MemoryAccount`
     peers: Peers | None = None  # None: the platform allows no messages between gateways
 
     @property
--- a/quillroad/config/platform.py
+++ b/quillroad/config/platform.py
@@ -17,7 +17,7 @@
 from quillroad.balancing.platform_settings import read_settings
 from quillroad.config.model import (
     LONG_BODY,
-    MAX_BODY_BUDGET_BYTES,
+    MAX_PEER_MEMORY_BYTES,
     SHORT_BODY,
     Config,
     ConfigError,
@@ -25,14 +25,21 @@
     read_address,
 )
 
-RESERVED_MEMORY_MB = 48  # two processes without request bodies use 40 MB; the rest is a margin
+# How the memory limit is divided (docs/design/memory.md).
+PROCESS_MB = 36  # resident memory of a process without connections
+CONNECTION_ALLOWANCE_BYTES = (
+    14 * 1024
+)  # of a descriptor: its objects, and what is not accounted for
+# Part of the rest that is accounted for; the allocator needs the others for what it cannot reuse.
+ACCOUNTED_FRACTION = 0.75
+MIN_PEER_MEMORY_BYTES = 1024 * 1024
 DEFAULT_MEMORY_MB = 192
 DEFAULT_NAME = "gateway"
 DEFAULT_SOCKETS = 1024
 DEFAULT_CONNECT_TIMEOUT_US = 1_000_000
 DEFAULT_IDLE_US = 15_000_000
 # Log names of the `Config` fields that operators know under another name.
-LOGGED_NAMES = {"machine_types": "kinds", "body_budget_bytes": "buffers"}
+LOGGED_NAMES = {"machine_types": "kinds", "peer_memory_bytes": "buffers"}
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -66,7 +73,7 @@
         connect_timeout_s=_seconds(settings_limits, "connect_timeout", DEFAULT_CONNECT_TIMEOUT_US),
         admin=read_address(admin, "admin_addr") if admin else None,
         longest_body=LONG_BODY if admin else SHORT_BODY,
-        body_budget_bytes=_body_budget_bytes(_limits(data)),
+        peer_memory_bytes=_peer_memory_bytes(_limits(data), 2 if admin else 1),
         peers=_peers(data) if has_peers else None,
         idle_s=_seconds(settings_limits, "conn_idle", DEFAULT_IDLE_US),
     )
@@ -156,16 +163,16 @@
     return min(1.0, _positive_number(limits, "cores", 1.0))  # the event loop is one thread
 
 
-def _body_budget_bytes(limits: Mapping[str, Any]) -> int:
-    """Return the memory for long bodies in bytes, from the memory limit of the platform.
+def _peer_memory_bytes(limits: Mapping[str, Any], processes: int) -> int:
+    """Return the memory in bytes for what peers make the process hold.
 
-    Memory for the process itself, for idle connections and for a second process during an upgrade
-    is subtracted first.
+    The memory of the processes themselves is subtracted from the limit of the platform first, and
+    then the allowance of each connection. With an admin address an upgrade runs a second process.
     """
     memory_mb = _positive_number(limits, "memory_mb", DEFAULT_MEMORY_MB)
-    return max(
-        SHORT_BODY, min(MAX_BODY_BUDGET_BYTES, int((memory_mb - RESERVED_MEMORY_MB) * 2**20))
-    )
+    sockets = _positive_int(limits, "sockets", "limits.sockets", DEFAULT_SOCKETS)
+    rest = (memory_mb - processes * PROCESS_MB) * 2**20 - sockets * CONNECTION_ALLOWANCE_BYTES
+    return max(MIN_PEER_MEMORY_BYTES, min(MAX_PEER_MEMORY_BYTES, int(ACCOUNTED_FRACTION * rest)))
 
 
 def _peers(data: Mapping[str, Any]) -> Peers:
--- a/quillroad/discovery/list_call.py
+++ b/quillroad/discovery/list_call.py
@@ -119,6 +119,7 @@
                     self._report(document)
         finally:
             writer.close()
+            self._response.parser = None
 
     def _feed(self, response: ListResponse, data: bytes) -> None:
         self.received_bytes += len(data)
--- a/quillroad/discovery/list_response.py
+++ b/quillroad/discovery/list_response.py
@@ -34,21 +34,26 @@
 
 
 class ListResponse:
-    """State of one HTTP response, filled in by callbacks of the HTTP parser."""
+    """State of one HTTP response, filled in by callbacks of the HTTP parser.
+
+    `parser` refers back to this object: unless it is set to None at the end of the call, both stay
+    in memory until the garbage collector runs.
+    """
 
     def __init__(self) -> None:
         self.status = 0  # 0: the head has not arrived yet
         self.ended = False
         self.body = b""  # bytes not yet split into documents
         self.documents = JsonDocumentStream(LIST_LIMIT_BYTES)
-        self._parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> bytes:
         """Parse `data` and return the body bytes in it.
 
         Raises `MalformedListError` for any status other than 200.
         """
-        self._parser.feed_data(data)
+        assert self.parser is not None
+        self.parser.feed_data(data)
         if self.status not in (0, 200):
             raise MalformedListError(f"status {self.status}")
         body, self.body = self.body, b""
@@ -63,7 +68,8 @@
 
     def on_headers_complete(self) -> None:
         """Store the status."""
-        self.status = self._parser.get_status_code()
+        assert self.parser is not None
+        self.status = self.parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Buffer body bytes."""
--- a/quillroad/downstream/connection.py
+++ b/quillroad/downstream/connection.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, cast
 
 from quillroad.downstream.connection_migration import MigratableConnection
-from quillroad.downstream.request_parser import PendingRequest
+from quillroad.downstream.request_parser import FREE_INPUT_BYTES, TURN_WORK, PendingRequest
 from quillroad.downstream.responses import CONTINUE
 from quillroad.downstream.state import (
     ANSWER_AFTER,
@@ -40,6 +40,8 @@
 
 log = logging.getLogger("quillroad.downstream")
 
+# Callbacks of the parser in which deferred input may result before the next connection's turn.
+DEFERRED_WORK = 256
 # Age of received data from which a disconnect of the client is checked for: a client may give up
 # within 0.1 s.
 DISCONNECT_CHECK_AGE_S = 0.05
@@ -52,6 +54,7 @@
         super().__init__(server, sock)
         self._advancing = False
         self._has_read = False
+        self._input_reserved = 0  # bytes of unparsed input that are counted in `MemoryAccount`
         # State of the request that is queued or served:
         self._queue_entry: QueuedRequest | None = None  # its entry in the admission queue
         self._began_at = 0.0  # when processing began, in monotonic time (s)
@@ -72,7 +75,10 @@
         self._transport = None
         self._answering = ANSWER_AFTER[self._answering][AnswerEvent.DISCONNECT]
         self._reserved += self._parser.close()
-        self._release_body()
+        self._stop_lingering()
+        self._release_request()
+        self._release_output()
+        self._reserve_input(0)
         if self._stream is not None:
             stream = self._stream
             self._stream = None
@@ -90,6 +96,7 @@
     def resume_writing(self) -> None:
         """Continue after the write buffer has become empty."""
         self.output_pending = False
+        self._release_output()
         if self._stream is not None:
             self._stream.resume_reading()
             return
@@ -101,12 +108,22 @@
         if self.idle():
             self._server.mark_resting(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the next bytes of the client are read into."""
+        return self._server.read_buffer.view(self._parser.read_bytes())
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle bytes that were read into the buffer."""
+        self.data_received(self._server.read_buffer.received(nbytes))
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the client, or queue or reject their request without parsing."""
         parser = self._parser
         if parser.state is ReadState.ENDED:
             self._discard(len(data))
             return
+        # Without this, the time in which reading was paused would not count for the request.
+        was_paused = self.may_have_disconnected
         self.may_have_disconnected = False
         if parser.unparsed:
             parser.append(data)
@@ -114,7 +131,7 @@
             parser.unparsed = data
             parser.read_at = monotonic()
             # The data may have waited in the kernel before the accept or while the loop was busy.
-            waited = not self._has_read or self._server.loop_monitor.late()
+            waited = not self._has_read or was_paused or self._server.loop_monitor.late()
             if waited and self._backdate_read_time():
                 return
             if (
@@ -189,11 +206,14 @@
 
     # Requests, one at a time.
 
-    def _feed(self) -> None:
-        """Parse received bytes, and pause reading while the backlog of parsed requests is full."""
+    def _feed(self, max_work: int = TURN_WORK) -> None:
+        """Parse received bytes, and pause reading while some of them are left.
+
+        Those are parsed in a later iteration of the event loop, or when the backlog has room.
+        """
         parser = self._parser
         begun = parser.begun
-        parser.feed()
+        parser.feed(max_work)
         if self._answering in NOT_BEGUN:
             if parser.begun != begun:
                 self.last_change = monotonic()
@@ -205,6 +225,16 @@
         paused = bool(parser.unparsed)
         if paused != self.reading_paused:
             self._pause_reading(paused)
+        self._reserve_input(len(parser.unparsed) - FREE_INPUT_BYTES)
+        if paused and parser.can_parse():
+            self._server.input_scheduler.add(self)
+
+    def _reserve_input(self, size: int) -> None:
+        """Count `size` bytes (0 if negative) of input that are in memory and not parsed."""
+        size = max(0, size)
+        if size != self._input_reserved:
+            self._server.memory.force(size - self._input_reserved)
+            self._input_reserved = size
 
     def _queue(self, arrived_at: float, wait_s: float, route: int, tenant: int) -> bool:
         """Put the request in the admission queue; return False if it is rejected."""
@@ -214,7 +244,13 @@
         self._answering = ANSWER_AFTER[self._answering][AnswerEvent.QUEUE]
         return True
 
-    def _advance(self) -> None:
+    def continue_parsing(self) -> None:
+        """Parse more of the received bytes; called by the scheduler of deferred input."""
+        # While reading is paused, a disconnect is not noticed.
+        if self._transport is not None and not self.has_disconnected():
+            self._advance(DEFERRED_WORK)
+
+    def _advance(self, max_work: int = TURN_WORK) -> None:
         """Queue the next request once the previous response has left this process.
 
         Only one request is queued at a time, so that other connections are served in between.
@@ -223,7 +259,7 @@
             return
         self._advancing = True
         try:
-            self._feed()
+            self._feed(max_work)
             backlog = self._parser.backlog
             if not backlog or self._answering is not AnswerState.IDLE or self.output_pending:
                 return
@@ -292,6 +328,12 @@
             return
         if self._answering is AnswerState.SERVING:  # otherwise `accept` has already answered it
             self._open_request = opened
+            if self._reserved:
+                # The attempts need the body, and may go on after the client was answered.
+                engine.release_when_removed(
+                    opened, partial(self._server.memory.give, self._reserved)
+                )
+                self._reserved = 0
 
     def _reject(self) -> None:
         self.answer(Reply(503, None, self._server.retry_after_us))
@@ -329,7 +371,7 @@
         if not keep_alive:
             self._close()
         elif has_next:
-            self._server.loop.call_soon(self._advance)
+            self._server.input_scheduler.add(self)
         elif not self.output_pending:
             self._server.mark_resting(self)
 
--- a/quillroad/downstream/connection_output.py
+++ b/quillroad/downstream/connection_output.py
@@ -31,7 +31,7 @@
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close with RST, unsent bytes are dropped
 
 
-class ConnectionOutput(asyncio.Protocol):
+class ConnectionOutput(asyncio.BufferedProtocol):
     """Writes the responses of a connection and closes it.
 
     The time limits count from `last_change`, in monotonic time (s); `reading_paused`,
@@ -42,7 +42,7 @@
         self._server = server
         self._sock = sock
         self._transport: asyncio.Transport | None = None
-        self._parser = RequestParser(server.validator, server.buffers, server.up_status)
+        self._parser = RequestParser(server.validator, server.memory, server.up_status)
         self._answering = AnswerState.IDLE
         self.reading_paused = False
         self.may_have_disconnected = False
@@ -51,6 +51,7 @@
         self._unread_bytes = (
             0  # response bytes that the client had not acknowledged at the last check
         )
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._discarded = 0  # bytes received after the last response
         # State of the request that is served or streamed:
         self._open_request: OpenRequest | None = None
@@ -59,7 +60,8 @@
         self._keep_alive = True
         self._version = "1.1"
         self._route = -1  # its route while its answer is due; -1: none
-        self._reserved = 0  # bytes of its body that are counted in `BodyBudget`
+        self._reserved = 0  # bytes of the request that are counted in `MemoryAccount`
+        self._output_reserved = 0  # the same of responses that the client has not read
 
     # Hooks that the subclass implements.
 
@@ -95,7 +97,7 @@
         self._open_request = None
         self._answering = ANSWER_AFTER[self._answering][AnswerEvent.FINISH]
         if self._reserved:
-            self._release_body()
+            self._release_request()
         self.last_change = monotonic()
         if self._route >= 0:
             if self._server.on_end is not None:
@@ -112,12 +114,28 @@
             retry_after_us = self._server.retry_after_jitter.jittered_us(reply.retry_after_us)
         message = response(reply.status, body, content_type, retry_after_us, keep_alive)
         self._transport.write(message)
+        if self.output_pending:
+            self._reserve_output(self._transport)
         self._response_written(keep_alive, has_next)
 
-    def _release_body(self) -> None:
-        self._server.buffers.give(self._reserved)
+    def _release_request(self) -> None:
+        self._server.memory.give(self._reserved)
         self._reserved = 0
 
+    def _reserve_output(self, transport: asyncio.Transport) -> None:
+        """Count the response bytes that the kernel has not taken.
+
+        They are in memory already, and no further response is written before they have left.
+        """
+        unsent_bytes = transport.get_write_buffer_size()
+        self._server.memory.force(unsent_bytes - self._output_reserved)
+        self._output_reserved = unsent_bytes
+
+    def _release_output(self) -> None:
+        if self._output_reserved:
+            self._server.memory.give(self._output_reserved)
+            self._output_reserved = 0
+
     # Streamed responses.
 
     def _begin_stream(
@@ -129,7 +147,7 @@
         """
         self._open_request = None
         if self._reserved:
-            self._release_body()
+            self._release_request()
         self.last_change = monotonic()
         if self._transport is None:
             return  # disconnected: while `on_end` is unset, the host connection is closed
@@ -150,6 +168,7 @@
             return
         self._transport.write(chunk(data) if self._chunked else data)
         if self.output_pending:
+            self._reserve_output(self._transport)
             self._stream.pause_reading()
 
     def _stream_ended(self, whole: bool) -> None:
@@ -210,7 +229,16 @@
                 self._mark_leaving()
             if self._transport.can_write_eof():
                 self._transport.write_eof()
-            self._server.loop.call_later(LINGER_S, self._linger)
+            self._start_lingering()
+
+    def _start_lingering(self) -> None:
+        self._linger_timer = self._server.loop.call_later(LINGER_S, self._linger)
+
+    def _stop_lingering(self) -> None:
+        """Cancel the timer, which would keep a closed connection in memory."""
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+            self._linger_timer = None
 
     def _linger(self) -> None:
         """Close the connection after the client had time to read the last response.
@@ -219,7 +247,7 @@
         """
         if self.output_pending and self._transport is not None:
             # `enforce_time_limits` closes the connection of a client that reads nothing.
-            self._server.loop.call_later(LINGER_S, self._linger)
+            self._start_lingering()
         else:
             self.abort()
 
--- a/quillroad/downstream/request_parser.py
+++ b/quillroad/downstream/request_parser.py
@@ -12,7 +12,6 @@
 
 import httptools
 
-from quillroad.config import SHORT_BODY
 from quillroad.downstream.request_validation import RequestValidator
 from quillroad.downstream.state import PARTIAL, READ_AFTER, ReadEvent, ReadState
 from quillroad.engine.engine import ClientRequest
@@ -24,8 +23,8 @@
     HttpSyntaxError,
 )
 from quillroad.framing import HEAD_LIMIT, MAX_FRAMING_RATIO, check_framing
-from quillroad.overload.body_budget import BodyBudget
 from quillroad.overload.heap import fix_mmap_threshold
+from quillroad.overload.memory_account import MemoryAccount
 
 HEAD = ReadState.HEAD  # a global, which is faster to read than an attribute for each header
 log = logging.getLogger("quillroad.downstream")
@@ -35,11 +34,28 @@
     2  # parsed requests in the backlog of a connection: one is served at a time
 )
 HEADER_OVERHEAD_BYTES = 4  # beside name and value: colon, space, CR, LF
-SLICE_BYTES = 2048  # parsed at a time, a few requests: one read can contain hundreds
-BODY_SLICE_BYTES = 64 * 1024  # the same within a body, which contains no further request
-STEP_BYTES = tuple(
-    BODY_SLICE_BYTES if state is ReadState.BODY else SLICE_BYTES for state in ReadState
-)
+MAX_HEADER_FIELDS = 1024  # of a request: each one is some objects and some work
+# Bytes parsed at a time. The work is counted after each slice, and one of the shortest fields or
+# chunks has a callback for each four bytes. Slices grow while they contain little work.
+MIN_SLICE_BYTES = 512
+MAX_SLICE_BYTES = 16 * 1024
+MESSAGE_WORK = 8  # the validation of a request, in callbacks that take as long
+CHEAP_SLICE_WORK = 4  # callbacks in a slice, up to which the next one is twice as long
+# Callbacks in which one turn of the event loop may result, for input that was just received.
+TURN_WORK = 64
+# Bytes to read from a connection at a time: usually, while memory is short, and in a long body of
+# known length, where all that is read is stored without further work.
+READ_BYTES = 16 * 1024
+SHORT_READ_BYTES = 4096
+LONG_BODY_READ_BYTES = 64 * 1024
+# Memory that is not reserved in the account: of unparsed input, and of a request's head and body.
+FREE_INPUT_BYTES = SHORT_READ_BYTES
+FREE_HEAD_BYTES = 4096
+FREE_BODY_BYTES = 2048
+# Objects of a header field beside its bytes: a tuple, two bytes objects, and the list's reference.
+FIELD_OBJECT_BYTES = 160
+# Heads are reserved in steps, so that a step is rare.
+HEAD_RESERVATION_BYTES = 4096
 
 
 class PendingRequest:
@@ -48,7 +64,7 @@
     `request` is None for an error and for the health check, which are answered with `status`;
     `reason` is logged. `keep_alive` tells whether the connection may stay open after the response,
     `version` is the HTTP version. `route` is -1 if unknown, and `reserved` is the number of bytes
-    of the body that are reserved in `BodyBudget`.
+    of head and body that are reserved in `MemoryAccount`.
     """
 
     def __init__(
@@ -80,10 +96,10 @@
     """
 
     def __init__(
-        self, validator: RequestValidator, buffers: BodyBudget, up_status: Callable[[], int]
+        self, validator: RequestValidator, memory: MemoryAccount, up_status: Callable[[], int]
     ) -> None:
         self._validator = validator
-        self._buffers = buffers
+        self._memory = memory
         self._up_status = up_status
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.state = ReadState.BETWEEN
@@ -100,44 +116,76 @@
         self._body = bytearray()
         self.size = 0  # bytes of the head, or of the body once that has begun
         self._unfinished_bytes = 0  # bytes read since a request began that did not complete it
-        self._body_reserved = 0  # bytes of the body being received, reserved in the budget
+        self._body_length = 0  # declared length of the body in bytes; -1 if it is chunked
+        self._reserved = 0  # bytes of the request being received that are reserved in the account
+        self._head_reserved = 0  # those for its head
+        self._work = 0  # callbacks so far
+        self._slice_bytes = MIN_SLICE_BYTES
         self.continue_sent = False
 
+    def read_bytes(self) -> int:
+        """Return how many bytes to read from the connection at a time."""
+        if self.state is ReadState.BODY and self._body_length - self.size >= LONG_BODY_READ_BYTES:
+            return LONG_BODY_READ_BYTES
+        return SHORT_READ_BYTES if 2 * self._memory.used > self._memory.limit else READ_BYTES
+
+    def can_parse(self) -> bool:
+        """Whether unparsed input is left that `feed` would parse."""
+        return bool(self.unparsed) and len(self.backlog) < MAX_PIPELINED_REQUESTS
+
     def append(self, data: bytes) -> None:
         """Append received data to the data that is not parsed yet."""
         self.unparsed = self.unparsed[self.parsed :] + data
         self.parsed = 0
 
-    def feed(self) -> None:
-        """Parse received data until the backlog has `MAX_PIPELINED` requests or more.
+    def feed(self, max_work: int = TURN_WORK) -> None:
+        """Parse received data until `max_work` callbacks or the limit of the backlog are reached.
 
-        The rest stays in `unparsed`.
+        Both may be exceeded by one slice. The rest stays in `unparsed`.
         """
+        work_end = self._work + max_work
         while (
             self.unparsed
             and len(self.backlog) < MAX_PIPELINED_REQUESTS
+            and self._work < work_end
             and self._parser is not None
         ):
-            step = STEP_BYTES[self.state]
+            work_before = self._work
+            self._feed_slice(self._parser)
+            work = self._work - work_before
+            if work > CHEAP_SLICE_WORK:
+                self._slice_bytes = MIN_SLICE_BYTES
+            elif self._slice_bytes < MAX_SLICE_BYTES:
+                self._slice_bytes *= 2
+
+    def _feed_slice(self, parser: httptools.HttpRequestParser) -> None:
+        """Parse the next slice of the received data."""
+        step = self._slice_bytes
+        if not self.parsed and len(self.unparsed) <= step:
+            data = self.unparsed
+            self.unparsed = b""
+        else:
             data = self.unparsed[self.parsed : self.parsed + step]
             self.parsed += step
             if self.parsed >= len(self.unparsed):
                 self.unparsed = b""
                 self.parsed = 0
-            completed = self.completed
-            try:
-                self._parser.feed_data(data)
-                if completed == self.completed and self.state is not ReadState.BETWEEN:
-                    self._unfinished_bytes += len(data)
-                    if self._unfinished_bytes > HEAD_LIMIT:
-                        self._check_unfinished_bytes()
-            except httptools.HttpParserUpgrade:
-                # The upgrade is declined: the request is served as HTTP/1.1, but httptools parses
-                # nothing after it.
-                self.backlog[-1].keep_alive = False
-                self.end()
-            except (httptools.HttpParserError, BadRequestError) as error:
-                self._reject(error)
+        completed = self.completed
+        try:
+            parser.feed_data(data)
+            if completed == self.completed and self.state is not ReadState.BETWEEN:
+                self._unfinished_bytes += len(data)
+                if self.state is HEAD:
+                    self._reserve_head()
+                if self._unfinished_bytes > HEAD_LIMIT:
+                    self._check_unfinished_bytes()
+        except httptools.HttpParserUpgrade:
+            # The upgrade is declined: the request is served as HTTP/1.1, but httptools parses
+            # nothing after it.
+            self.backlog[-1].keep_alive = False
+            self.end()
+        except (httptools.HttpParserError, BadRequestError) as error:
+            self._reject(error)
 
     def _check_unfinished_bytes(self) -> None:
         """Raise `BadRequestError` if an incomplete request has too many bytes.
@@ -163,6 +211,9 @@
                 # An unexpected exception in a callback below: a bug here, not an error of the
                 # client.
                 log.error("unexpected exception in a parser callback", exc_info=error.__context__)
+        # Its traceback refers to this object and to the input: until the garbage collector ran, the
+        # cycle would hold the memory of a connection that has closed.
+        self._callback_error = None
         # Only a 503 counts as a rejection of its route: the request itself is valid.
         route = self._validator.route_of(self._url) if bad_request.status == 503 else None
         self.fail(bad_request, -1 if route is None else route)
@@ -170,8 +221,9 @@
     def fail(self, error: BadRequestError, route: int = -1) -> None:
         """Stop parsing, discard the partial body and queue `error` behind earlier requests."""
         self._body = bytearray()
-        reserved = self._body_reserved
-        self._body_reserved = 0
+        self._headers = []
+        reserved = self._reserved
+        self._reserved = 0
         self.backlog.append(
             PendingRequest(None, error.status, False, str(error), route=route, reserved=reserved)
         )
@@ -197,8 +249,8 @@
         """
         self.end()
         self._parser = None
-        reserved = self._body_reserved + self.clear_backlog()
-        self._body_reserved = 0
+        reserved = self._reserved + self.clear_backlog()
+        self._reserved = 0
         return reserved
 
     def has_more(self) -> bool:
@@ -225,6 +277,7 @@
         self._body = bytearray()
         self.size = 0
         self._unfinished_bytes = 0
+        self._head_reserved = 0
         self.continue_sent = False
 
     def on_url(self, url: bytes) -> None:
@@ -236,6 +289,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; ignore a trailer, which must not replace a header that was checked."""
+        self._work += 1
         if self.state is not HEAD:
             return
         self._headers.append((name, value.strip()))
@@ -254,28 +308,33 @@
         except BadRequestError as bad_request:
             self._callback_error = bad_request
             raise
+        self._body_length = length
+        if len(self._headers) > MAX_HEADER_FIELDS:
+            raise self._record_error(HeadTooLongError(HEAD_LIMIT))
         if length > self._validator.longest_body:
             raise self._record_error(
                 BodyTooLongError("body too long", self._validator.longest_body)
             )
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body, and reserve memory for it past `SHORT_BODY` bytes."""
+        """Append a part of the body, and reserve memory for it past `FREE_BODY_BYTES`."""
+        self._work += 1
         before = self.size
         self.size += len(body)
-        if self.size > SHORT_BODY:
+        if self.size > FREE_BODY_BYTES:
             if self.size > self._validator.longest_body:
                 raise self._record_error(
                     BodyTooLongError("body too long", self._validator.longest_body)
                 )
-            # The first `SHORT_BODY` bytes are reserved only once the body is longer than that.
-            self._reserve(self.size if before <= SHORT_BODY else len(body))
+            # The first `FREE_BODY_BYTES` are reserved only once the body is longer than that.
+            self._reserve(self.size if before <= FREE_BODY_BYTES else len(body))
         self._body += body
 
     def on_message_complete(self) -> None:
         """Validate the complete request, and add it or its error to the backlog."""
         self.state = READ_AFTER[self.state][ReadEvent.COMPLETE]
         self.completed += 1
+        self._work += MESSAGE_WORK
         parser = self._parser
         assert parser is not None
         keep_alive = parser.should_keep_alive()
@@ -292,12 +351,13 @@
                 )
         except BadRequestError as bad_request:
             pending = PendingRequest(None, bad_request.status, keep_alive, str(bad_request))
-        if self._body_reserved:
-            # From here on the body and its reservation belong to the request alone, and are
+        if self._reserved:
+            # From here on the memory and its reservation belong to the request alone, and are
             # released with it.
             self._body = bytearray()
-            pending.reserved = self._body_reserved
-            self._body_reserved = 0
+            self._headers = []
+            pending.reserved = self._reserved
+            self._reserved = 0
         self.backlog.append(pending)
 
     def _record_error(self, error: BadRequestError) -> BadRequestError:
@@ -306,8 +366,22 @@
         return error
 
     def _reserve(self, size: int) -> None:
-        """Reserve `size` more bytes in the body budget; raise `BodyMemoryError` if it is full."""
+        """Reserve `size` more bytes in the account; raise `BodyMemoryError` if it is full."""
         fix_mmap_threshold()
-        if not self._buffers.take(size):
+        if not self._memory.take(size):
             raise self._record_error(BodyMemoryError())
-        self._body_reserved += size
+        self._reserved += size
+
+    def _reserve_head(self) -> None:
+        """Reserve memory for the head received so far, as the objects that it consists of.
+
+        Raises `BodyMemoryError` if the account is full, `HeadTooLongError` for too many fields.
+        """
+        fields = len(self._headers)
+        if fields > MAX_HEADER_FIELDS:
+            raise HeadTooLongError(HEAD_LIMIT)
+        needed = self._unfinished_bytes + fields * FIELD_OBJECT_BYTES - FREE_HEAD_BYTES
+        if needed > self._head_reserved:
+            step = max(HEAD_RESERVATION_BYTES, needed - self._head_reserved)
+            self._reserve(step)
+            self._head_reserved += step
--- a/quillroad/downstream/request_validation.py
+++ b/quillroad/downstream/request_validation.py
@@ -9,8 +9,8 @@
 from urllib.parse import unquote
 
 from quillroad.balancing.settings import Idempotency
-from quillroad.config import SHORT_BODY, Config
-from quillroad.engine.engine import ClientRequest
+from quillroad.config import Config
+from quillroad.engine.client_request import MAX_COPIED_BODY_BYTES, ClientRequest
 from quillroad.errors import (
     HeaderError,
     UnexpectedBodyError,
@@ -109,8 +109,8 @@
             is_retry=values.get(b"client-retry") == b"1",
             work_estimate_us=int(work_hint) if has_estimate else None,
             head=b"\r\n".join(forwarded) + b"\r\n",
-            # A long body is passed on without a copy, which would double its memory.
-            body=b"" if idempotent else body if len(body) > SHORT_BODY else bytes(body),
+            # A copy of a larger body would double its memory.
+            body=b"" if idempotent else body if len(body) > MAX_COPIED_BODY_BYTES else bytes(body),
         )
 
     def _read_path(self, url: bytes) -> tuple[int, str | None]:
--- a/quillroad/downstream/server.py
+++ b/quillroad/downstream/server.py
@@ -12,13 +12,16 @@
 from quillroad.downstream.connection import ClientConnection
 from quillroad.downstream.connection_limit import MIN_SILENT_S, ConnectionLimit, ConnectionState
 from quillroad.downstream.early_rejection import EarlyRejection, Rejections
+from quillroad.downstream.input_scheduler import InputScheduler
+from quillroad.downstream.request_parser import LONG_BODY_READ_BYTES
 from quillroad.downstream.request_scheduler import CAPACITY_RECHECK_S, RequestScheduler
 from quillroad.downstream.request_validation import RequestValidator
 from quillroad.engine.engine import Engine
 from quillroad.overload.acceptor import Acceptor
 from quillroad.overload.admission_queue import AdmissionQueue, RoutePriority
-from quillroad.overload.body_budget import BodyBudget
 from quillroad.overload.event_loop_monitor import EventLoopMonitor
+from quillroad.overload.memory_account import MemoryAccount
+from quillroad.overload.read_buffer import ReadBuffer
 from quillroad.overload.retry_after import RetryAfterJitter
 
 __all__ = ["CAPACITY_RECHECK_S", "MAX_EXCESS_DESCRIPTORS", "ClientConnection", "Server"]
@@ -42,7 +45,8 @@
 class Server:
     """All client connections of the gateway.
 
-    `drop_idle_upstream` closes an idle connection to a host and returns whether there was one.
+    `memory` accounts for what clients make the process hold. `drop_idle_upstream` closes an idle
+    connection to a host and returns whether there was one.
     `retry_after_us` is the longest `Retry-After` of a rejection (µs, 0 for none), `streams` the
     number of responses being streamed. While `draining`, the last response on each connection
     carries `Connection: close`. `on_end` is called with the route and status of each request that
@@ -57,6 +61,7 @@
         descriptors: Descriptors,
         drop_idle_upstream: Callable[[], bool],
         loop_monitor: EventLoopMonitor,
+        memory: MemoryAccount,
     ) -> None:
         self.loop = loop
         self.engine = engine
@@ -68,7 +73,9 @@
         self.draining = False
         self.streams = 0
         self.on_end: Callable[[int, int], None] | None = None
-        self.buffers = BodyBudget(config.body_budget_bytes)
+        self.memory = memory
+        self.read_buffer = ReadBuffer(LONG_BODY_READ_BYTES)
+        self.input_scheduler = InputScheduler(loop)
         self.validator = RequestValidator(config)
         self.retry_after_us = _retry_after_us(config)
         self.retry_after_jitter = RetryAfterJitter(config.seed % JITTER_MODULUS / JITTER_MODULUS)
--- a/quillroad/engine/client_request.py
+++ b/quillroad/engine/client_request.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# A body of more bytes is passed on without a copy.
+MAX_COPIED_BODY_BYTES = 2048
+
 
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
--- a/quillroad/engine/engine.py
+++ b/quillroad/engine/engine.py
@@ -37,7 +37,7 @@
     TimerFired,
 )
 from quillroad.config import SHORT_BODY, Address
-from quillroad.engine.client_request import ClientRequest
+from quillroad.engine.client_request import MAX_COPIED_BODY_BYTES, ClientRequest
 from quillroad.engine.clock import EngineClock
 from quillroad.engine.deadlines import (
     CLIENT_CHECK_LAG_S,
@@ -326,10 +326,11 @@
         send_by: float,
     ) -> None:
         request = open_request.request
-        # A short body is sent in one write with the head, which saves a copy and a system call.
+        # A small body is sent in one write with the head, which saves a system call. The copy of a
+        # larger one would not be accounted for.
         short_body = b""
         long_body: bytes | bytearray = b""
-        if len(request.body) > SHORT_BODY:
+        if len(request.body) > MAX_COPIED_BODY_BYTES:
             long_body = request.body
         else:
             short_body = bytes(request.body)
--- a/quillroad/engine/request_table.py
+++ b/quillroad/engine/request_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from quillroad.engine.open_request import OpenRequest
 from quillroad.engine.reply import Reply
 
@@ -54,3 +56,13 @@
             open_request.withdraw_connecting_attempts()
         if not open_request.attempts_in_flight:
             self._open.pop(open_request.number, None)
+            if open_request.on_removed is not None:
+                open_request.on_removed()
+                open_request.on_removed = None
+
+    def release_when_removed(self, open_request: OpenRequest, release: Callable[[], None]) -> None:
+        """Call `release` once the request is not open any more, at once if it is not now."""
+        if open_request.number in self._open:
+            open_request.on_removed = release
+        else:
+            release()
--- a/quillroad/gateway.py
+++ b/quillroad/gateway.py
@@ -28,6 +28,7 @@
 )
 from quillroad.overload.acceptor import open_listener
 from quillroad.overload.event_loop_monitor import EventLoopMonitor
+from quillroad.overload.memory_account import MemoryAccount
 from quillroad.serving_state import ServingState
 from quillroad.upstream.pool import Upstream
 
@@ -76,6 +77,7 @@
         self.admin = make_admin(self, config)
         reserved = inherited_count + admin_descriptors(self.admin)
         self.descriptors = Descriptors(config.sockets - reserved)
+        self.memory = MemoryAccount(config.peer_memory_bytes)
         loop_monitor = EventLoopMonitor(loop)
         self.upstream = self._make_upstream(loop_monitor)
         self.zones = make_zones(zones, config, loop)
@@ -106,6 +108,7 @@
             self.config.idle_s,
             loop_monitor,
             self.config.longest_body,
+            self.memory,
         )
 
     def _make_engine(self, engine: type[Engine]) -> Engine:
@@ -129,6 +132,7 @@
             self.descriptors,
             self.upstream.drop_oldest_idle,
             loop_monitor,
+            self.memory,
         )
         self.upstream.close_silent_client = created.end_silent_connection
         if self.admin is not None:
--- a/quillroad/overload/acceptor.py
+++ b/quillroad/overload/acceptor.py
@@ -45,7 +45,7 @@
 # backlog is reset.
 MAX_ACCEPTS_ON_CLOSE = 4096
 
-P = TypeVar("P", bound=asyncio.Protocol)
+P = TypeVar("P", bound=asyncio.BaseProtocol)
 
 
 def open_listener(host: str, port: int, shared: bool = False) -> socket.socket:
--- a/quillroad/overload/body_budget.py
+++ b/quillroad/overload/memory_account.py
@@ -1,14 +1,17 @@
-"""Limit on the bytes of long bodies that the gateway buffers at once. No I/O."""
+"""Account of the memory that peers make the process hold. No I/O.
+
+Every connection has a small allowance that needs no entry here (docs/design/memory.md). What
+exceeds it is reserved in the account: heads, bodies, answers and unsent output. If the account is
+full, the caller rejects the request or stops reading.
+"""
 
 from __future__ import annotations
 
 
-class BodyBudget:
-    """A memory budget in bytes (0 or more) that all connections share.
+class MemoryAccount:
+    """A budget in bytes (0 or more) that all connections share.
 
-    Without it, slow-reading clients would make the gateway buffer whole bodies for all of them,
-    until the kernel's OOM killer ends the process. Each caller of `take` must return its bytes with
-    `give`.
+    Each caller of `take` or `force` must return its bytes with `give`.
     """
 
     __slots__ = ("limit", "peak", "used")
@@ -22,9 +25,13 @@
         """Reserve `size` bytes; return False if they exceed the budget."""
         if self.used + size > self.limit:
             return False
+        self.force(size)
+        return True
+
+    def force(self, size: int) -> None:
+        """Reserve `size` bytes that are in memory already, even beyond the budget."""
         self.used += size
         self.peak = max(self.peak, self.used)
-        return True
 
     def give(self, size: int) -> None:
         """Release `size` reserved bytes."""
--- a/quillroad/upgrade/migration.py
+++ b/quillroad/upgrade/migration.py
@@ -19,6 +19,7 @@
 from quillroad.downstream.server import ClientConnection, Server
 from quillroad.engine.engine import Engine
 from quillroad.overload.event_loop_monitor import EventLoopMonitor
+from quillroad.overload.memory_account import MemoryAccount
 
 log = logging.getLogger("quillroad.upgrade")
 
@@ -40,8 +41,11 @@
         descriptors: Descriptors,
         drop_idle_upstream: Callable[[], bool],
         loop_monitor: EventLoopMonitor,
+        memory: MemoryAccount,
     ) -> None:
-        super().__init__(loop, config, engine, descriptors, drop_idle_upstream, loop_monitor)
+        super().__init__(
+            loop, config, engine, descriptors, drop_idle_upstream, loop_monitor, memory
+        )
         self.leaving = False
         self.on_idle: Callable[[ClientConnection], None] | None = None
 
--- a/quillroad/upstream/connection.py
+++ b/quillroad/upstream/connection.py
@@ -19,6 +19,8 @@
 from quillroad.http_answer import Answer, StreamedBody
 from quillroad.overload.event_loop_monitor import EventLoopMonitor
 from quillroad.overload.heap import fix_mmap_threshold
+from quillroad.overload.memory_account import MemoryAccount
+from quillroad.overload.read_buffer import ReadBuffer
 from quillroad.overload.socket_age import data_age
 from quillroad.upstream.attempt import Attempt
 from quillroad.upstream.connection_state import (
@@ -35,7 +37,12 @@
 # not complete. A client must not wait for the end of a slow stream. Short answers, which can still
 # be retried while they are buffered, are nearly always complete by then.
 UNKNOWN_LENGTH_WAIT_S = 0.025
-
+# Bytes read at a time: what a stream holds while its client does not read.
+READ_BYTES = 16 * 1024
+# Callbacks of the parser in which one read may result before other connections are read.
+TURN_WORK = 256
+# Memory of a buffered answer that is not reserved in the account.
+FREE_ANSWER_BYTES = 2048
 
 _AFTER_REQUEST_SENT = TRANSITIONS[HostConnectionEvent.REQUEST_SENT]
 _AFTER_ANSWER_COMPLETE = TRANSITIONS[HostConnectionEvent.ANSWER_COMPLETE]
@@ -46,13 +53,16 @@
 
     `connect_timeout_s` is the connect timeout of the settings. It also limits the wait for the rest
     of a partial answer where hosts write an answer at once, which is where all answers are short.
-    `max_body_bytes` limits the body of an answer. `requests_written` counts requests whose last
+    `max_body_bytes` limits the body of an answer, `memory` accounts for bodies that are buffered,
+    `read_buffer` is what its connections read into. `requests_written` counts requests whose last
     byte was handed to the kernel.
     """
 
     loop_monitor: EventLoopMonitor
     connect_timeout_s: float
     max_body_bytes: int
+    memory: MemoryAccount
+    read_buffer: ReadBuffer
     requests_written: int
     streaming: set[HostConnection]
 
@@ -68,12 +78,16 @@
     def on_closed(self, connection: HostConnection) -> None:
         """Note that a connection has closed and its descriptor is free. Idempotent."""
 
+    @abstractmethod
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Call `callback` in the next iteration of the event loop."""
+
     @abstractmethod
     def call_after(self, delay_s: float, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call `callback` after a delay; after an event loop stall, once pending input was read."""
 
 
-class HostConnection(asyncio.Protocol):
+class HostConnection(asyncio.BufferedProtocol):
     """One connection to a host."""
 
     def __init__(self, owner: ConnectionOwner, host: Host) -> None:
@@ -89,6 +103,8 @@
         self._poll = select.poll()
         self._socket: BorrowedSocket | None = None  # of the transport, while it is open
         self._partial_answer_timer: asyncio.TimerHandle | None = None
+        self._reserved = 0  # bytes of the answer that are counted in `MemoryAccount`
+        self._throttled = False  # reading is paused until the next iteration of the event loop
 
     # Opening, sending, closing.
 
@@ -160,6 +176,7 @@
         self._owner.on_closed(self)
         self._stop_partial_answer_timer()
         self._response.close()
+        self._release_memory()
         if self._stream_body is not None:
             self._end_stream(False)
         if self.attempt is not None:
@@ -179,8 +196,36 @@
 
     # Reading an answer.
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Callback of the transport: return the buffer that the next bytes are read into."""
+        return self._owner.read_buffer.view(READ_BYTES)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Callback of the transport: bytes were read into the buffer."""
+        work_before = self._response.work
+        self.data_received(self._owner.read_buffer.received(nbytes))
+        if self._response.work - work_before > TURN_WORK:
+            self._throttle()
+
+    def _throttle(self) -> None:
+        """Read no more in this iteration of the event loop.
+
+        Without this, an answer in very small chunks would delay everything else: the event loop
+        reads a connection dozens of times before it turns to the next one.
+        """
+        if not self._throttled and self.transport is not None and not self.is_closing():
+            self._throttled = True
+            self.transport.pause_reading()
+            self._owner.call_soon(self._end_throttle)
+
+    def _end_throttle(self) -> None:
+        self._throttled = False
+        paused = self._stream_body is not None and self._stream_body.paused
+        if not paused and self.transport is not None and not self.is_closing():
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
-        """Callback of the transport: the host sent bytes."""
+        """Handle bytes that the host sent."""
         if self._stream_body is not None:
             self._forward_stream_data(self._stream_body, data)
             return
@@ -199,13 +244,31 @@
             self._on_answer_complete(attempt, received_at)
         elif response.error is not None:
             self._fail_unreadable_answer()
-        elif response.is_long():
+        elif response.is_long() or not self._reserve_answer():
             self._start_stream(attempt, received_at)
         elif response.is_partial():
             self._limit_wait_for_rest(attempt, received_at)
         else:
             self._stop_partial_answer_timer()  # the host is working on the final answer
 
+    def _reserve_answer(self) -> bool:
+        """Reserve memory for what was received of the answer; return False if there is none.
+
+        It is then streamed, so that no more of it is read than its client takes.
+        """
+        size = len(self._response.body) - FREE_ANSWER_BYTES - self._reserved
+        if size <= 0:
+            return True
+        if not self._owner.memory.take(size):
+            return False
+        self._reserved += size
+        return True
+
+    def _release_memory(self) -> None:
+        if self._reserved:
+            self._owner.memory.give(self._reserved)
+            self._reserved = 0
+
     def _limit_wait_for_rest(self, attempt: Attempt, received_at: float) -> None:
         """Limit the wait for the rest of a partial answer.
 
@@ -243,12 +306,13 @@
         outcome = outcome_of_answer(response.status, response.headers)
         answer = None
         if outcome is Outcome.SUCCESS:
-            answer = Answer(bytes(response.body), response.headers.get(b"content-type"))
+            answer = Answer(response.take_body(), response.headers.get(b"content-type"))
         self.attempt = None
         attempt.connection = None
         self.state = _AFTER_ANSWER_COMPLETE[self.state]
         self._release_or_drop()
         attempt.finish(outcome, answer, received_at)
+        self._release_memory()
 
     def _release_or_drop(self) -> None:
         """After a complete answer, return the connection to the pool, or close it.
@@ -306,6 +370,7 @@
         self.attempt = None
         attempt.connection = None
         attempt.finish(ATTEMPT_RESULTS[AttemptEnd.ANSWER_200].outcome, answer, received_at)
+        self._release_memory()
         if streamed_body.on_end is None:  # the client was answered or has disconnected
             self.abandon()
 
@@ -362,7 +427,8 @@
         """Resume reading; False if the connection is already closed."""
         if self.transport is None:
             return False
-        self.transport.resume_reading()
+        if not self._throttled:
+            self.transport.resume_reading()
         return True
 
     def abandon(self) -> None:
--- a/quillroad/upstream/pool.py
+++ b/quillroad/upstream/pool.py
@@ -12,11 +12,13 @@
 from functools import partial
 from time import monotonic
 
-from quillroad.config import SHORT_BODY, Descriptors
+from quillroad.config import MAX_PEER_MEMORY_BYTES, SHORT_BODY, Descriptors
 from quillroad.http_answer import HEAD_LIMIT_BYTES, Answer, StreamedBody
 from quillroad.overload.event_loop_monitor import EventLoopMonitor
+from quillroad.overload.memory_account import MemoryAccount
+from quillroad.overload.read_buffer import ReadBuffer
 from quillroad.upstream.attempt import Attempt, Done
-from quillroad.upstream.connection import ConnectionOwner, HostConnection
+from quillroad.upstream.connection import READ_BYTES, ConnectionOwner, HostConnection
 from quillroad.upstream.connection_state import HostConnectionState
 from quillroad.upstream.host import Host
 from quillroad.upstream.outcome import AttemptEnd
@@ -51,7 +53,7 @@
 
     `connect_timeout_s` limits each connect and `host_idle_timeout_s` is the idle timeout of the
     hosts, both in seconds. `max_body_bytes` is the maximum length of an answer's body that is
-    forwarded.
+    forwarded. `memory` accounts for answers that are buffered.
     """
 
     def __init__(
@@ -62,10 +64,13 @@
         host_idle_timeout_s: float,
         loop_monitor: EventLoopMonitor,
         max_body_bytes: int = SHORT_BODY,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.loop_monitor = loop_monitor
         self.connect_timeout_s = connect_timeout_s
         self.max_body_bytes = max_body_bytes
+        self.memory = memory or MemoryAccount(MAX_PEER_MEMORY_BYTES)
+        self.read_buffer = ReadBuffer(READ_BYTES)
         self.streaming: set[HostConnection] = set()  # connections that stream long answers
         self.connects = 0  # connects started since the start of the process
         self.failed_connects = 0  # since the start of the process
@@ -232,6 +237,10 @@
         if self._idle.pop(connection, connection) is None:
             connection.host.idle.remove(connection)
 
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Call `callback` in the next iteration of the event loop."""
+        self._loop.call_soon(callback)
+
     def call_after(self, delay_s: float, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call `callback` after a delay; after an event loop stall, once pending input was read."""
         return self._loop.call_at(monotonic() + delay_s, self._call_or_defer, callback)
--- a/quillroad/upstream/response_parser.py
+++ b/quillroad/upstream/response_parser.py
@@ -18,6 +18,12 @@
 # Maximum number of interim (1xx) answers before the final answer. Hosts send none or one; without a
 # limit a host could keep an attempt busy forever without answering.
 MAX_INTERIM_ANSWERS = 8
+# Bytes that are kept of the body of an answer that is not passed on to a client.
+MAX_ERROR_BODY_BYTES = 1024
+# The headers that the gateway uses; the others are not stored.
+USED_HEADERS = frozenset(
+    (b"connection", b"content-length", b"content-type", b"not-started", b"transfer-encoding")
+)
 
 
 class ResponseError(Exception):
@@ -67,6 +73,7 @@
     def __init__(self, max_body_bytes: int) -> None:
         self._max_body_bytes = max_body_bytes
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self.work = 0  # callbacks so far: how much work the received bytes were
         self.reset()
 
     def reset(self) -> None:
@@ -102,6 +109,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self.error is None:
                 self.error = MalformedResponseError()
+            # The traceback refers back to this object, which would stay in memory until the garbage
+            # collector runs.
+            self.error.__traceback__ = None
         if self._received_bytes > HEAD_LIMIT_BYTES:
             self._check_framing()
 
@@ -174,13 +184,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers, which arrive here too, are ignored."""
+        self.work += 1
         if self.phase is not ResponsePhase.HEAD:
             return
         self._size_bytes += len(name) + len(value)
         if self._size_bytes > HEAD_LIMIT_BYTES:
             self.error = HeadTooLongError()
             raise self.error
-        self.headers[name.lower()] = value.strip()
+        lower_name = name.lower()
+        if lower_name in USED_HEADERS:
+            self.headers[lower_name] = value.strip()
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head; fail at once if the declared body is too long."""
@@ -200,13 +213,17 @@
 
     def on_body(self, body: bytes) -> None:
         """Add received bytes to the body."""
+        self.work += 1
         if self.phase is ResponsePhase.COMPLETE:
             return
         self._size_bytes += len(body)
         if self._size_bytes > self._body_limit_bytes:
             self.error = BodyTooLongError()
             raise self.error
-        self.body += body
+        if self.status == STATUS_OK:
+            self.body += body
+        else:  # it is not passed on
+            self.body += body[: max(0, MAX_ERROR_BODY_BYTES - len(self.body))]
 
     def on_message_complete(self) -> None:
         """Handle the end of the answer, or of an interim answer before it."""
--- a/testbed/environment.py
+++ b/testbed/environment.py
@@ -25,6 +25,7 @@
     """What each gateway is started with; see the parameters of `Environment`."""
 
     sockets: int
+    memory_mb: int
     upgrades: str
     budget: str
     operators: bool
@@ -67,6 +68,7 @@
         request_classes: what clients send.
         hosts: how many; they are dealt out over `zones` in turn and answer after `delay` seconds.
         sockets: each gateway's limit of descriptors.
+        memory_mb: each gateway's limit of memory, as its configuration says.
         gateways: how many; the last `later` of them start with `start_later` only.
         upgrades, budget, fleet: texts of the files that turn upgrades, the cross-zone budget and
             membership on; empty: off.
@@ -90,6 +92,7 @@
         *,
         delay: float = 0.0,
         sockets: int = 4096,
+        memory_mb: int = 192,
         gateways: int = 1,
         upgrades: str = "",
         path: Path | None = None,
@@ -108,7 +111,7 @@
     ) -> None:
         self._folder = folder
         self._request_classes = request_classes
-        self._options = _GatewayOptions(sockets, upgrades, budget, operators, path, tree)
+        self._options = _GatewayOptions(sockets, memory_mb, upgrades, budget, operators, path, tree)
         self._settings = {"zones": list(zones)} | changes
         self.hosts = [Host(f"s-{i}", delay, zones[i % len(zones)]) for i in range(hosts)]
         self._started_later = later
@@ -161,6 +164,7 @@
         own_settings |= {"balancers": self._count, "my_number": number} | self._settings
         core = self._cores.claim(number)
         gateway = GatewayProcess(folder, self.discovery.port, own_settings, options.sockets, core)
+        gateway.limit_memory(options.memory_mb)
         gateway.upgrades = options.upgrades
         gateway.path = options.path
         gateway.budget = options.budget
--- a/testbed/floods.py
+++ b/testbed/floods.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import cast
 
 FLOOD_PREFIX = "flood-"
 MAX_HEAD_BYTES = 16 * 1024  # a gateway answers 431 to a longer head
@@ -80,6 +81,11 @@
     return "\r\n".join(fields).encode() + b"\r\n"
 
 
+def _read_nothing(writer: asyncio.StreamWriter) -> None:
+    """Leave all that the gateway sends in the kernel."""
+    cast(asyncio.Transport, writer.transport).pause_reading()
+
+
 class Flood:
     """The clients of one flood of `kind`, on `connections` connections at a time."""
 
@@ -156,7 +162,7 @@
     async def _read_slowly(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        writer.transport.pause_reading()  # leaves the answer to the kernel and to the gateway
+        _read_nothing(writer)  # leaves the answer to the kernel and to the gateway
         await self._write(writer, self._request(0))
         while not writer.is_closing():
             await asyncio.sleep(SLOW_READ_INTERVAL_S)
@@ -168,7 +174,7 @@
     async def _read_nothing(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        writer.transport.pause_reading()
+        _read_nothing(writer)
         while True:
             await self._write(writer, self._request(0) * 20)
 
--- a/testbed/gateway.py
+++ b/testbed/gateway.py
@@ -88,7 +88,7 @@
         self.port = self.reserve_port()
         self._folder = folder
         self._core = core
-        self._data = {
+        self._data: dict[str, Any] = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{discovery_port}",
@@ -107,6 +107,10 @@
         self.tree = Path(build) if build else None
         self.path: Path | None = None  # of modules that replace those of the build, on the disk
 
+    def limit_memory(self, memory_mb: int) -> None:
+        """Let its configuration say that it may use so much memory."""
+        self._data["limits"] = self._data["limits"] | {"memory_mb": memory_mb}
+
     def reserve_port(self) -> int:
         """A port for this gateway alone, also while it is killed and not started again yet."""
         reserved = ReservedPort()
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -124,6 +124,6 @@
         known_hosts={"generation": 2},
         sockets=before.sockets + 1,
         machine_types=("m-1",),
-        body_budget_bytes=before.body_budget_bytes - 1,
+        peer_memory_bytes=before.peer_memory_bytes - 1,
     )
     assert changed_fields(before, after) == ["sockets", "kinds", "buffers"]
--- a/tests/downstream/test_departed_clients.py
+++ b/tests/downstream/test_departed_clients.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from quillroad.balancing.rejection import DecisionCounter
 from tests.net import (
     Client,
     FakeHost,
@@ -30,6 +31,10 @@
 HEAD = b"GET /status-check/k HTTP/1.1\r\nTenant: acme\r\nRequest-Timeout-Ms: 9000\r\nRequest-Id: "
 # More requests than the gateway parses ahead: it pauses reading while the first is at a host.
 REQUESTS = 120
+# After so many, the latency of a route is known and there is a token for a hedged attempt.
+ANSWERS_BEFORE_A_HEDGE = 20
+CLIENTS = 2
+ANSWER_S = 0.1  # of these, so that a hedged attempt is due that much later
 
 Disconnect = Callable[[Client], None]
 
@@ -54,13 +59,24 @@
     assert not gateway.engine._balancer.requests
 
 
+async def ask_once(w: World) -> None:
+    """Send one request on a connection of its own; it is served."""
+    async with w.client() as client:
+        assert (await client.ask()).status == 200
+
+
 class HeldResponses:
-    """Host that sends a response only when the test calls `answer`."""
+    """Host that sends a response only when the test calls `answer`, while `holds` is set."""
 
     def __init__(self) -> None:
         self.waiting: list[asyncio.StreamWriter] = []
+        self.holds = True
 
     async def __call__(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        if not self.holds:
+            await asyncio.sleep(ANSWER_S)
+            writer.write(answer())
+            return
         self.waiting.append(writer)
         await asyncio.Event().wait()
 
@@ -203,6 +219,13 @@
     settings["lanes"][0]["goal_time"] = 200_000
     held = HeldResponses()
     async with world(held, held, settings=settings) as w, w.client() as client:
+        held.holds = False
+        for _ in range(ANSWERS_BEFORE_A_HEDGE // CLIENTS):
+            await asyncio.gather(*(ask_once(w) for _ in range(CLIENTS)))
+        await asyncio.sleep(ANSWER_S)  # these may have been hedged, too
+        held.holds = True
+        hedges_before = w.gateway.engine.counters.get(DecisionCounter.HEDGES, 0)
+        seen_before = sum(len(host.seen) for host in w.hosts)
         for _ in range(REQUESTS):
             client.send()
         await until(lambda: len(held.waiting) == 1)
@@ -211,6 +234,7 @@
         if not stays:
             close(client)
             await asyncio.sleep(1.0)
-            assert sum(len(host.seen) for host in w.hosts) == 1
+            assert sum(len(host.seen) for host in w.hosts) == seen_before + 1
         else:
-            await until(lambda: sum(len(host.seen) for host in w.hosts) == 2)
+            await until(lambda: sum(len(host.seen) for host in w.hosts) == seen_before + 2)
+            assert w.gateway.engine.counters[DecisionCounter.HEDGES] == hedges_before + 1
--- a/tests/downstream/test_long_bodies.py
+++ b/tests/downstream/test_long_bodies.py
@@ -75,7 +75,7 @@
 async def test_bodies_beyond_the_budget_are_rejected_at_once_and_all_memory_is_returned() -> None:
     """Of two bodies that do not fit together, the second is rejected and the first is served."""
     async with world(serve_ok, **LONG_BODY_SETTINGS) as w:
-        buffers = w.gateway.server.buffers
+        buffers = w.gateway.memory
         buffers.limit = SIZE + SIZE // 4
         async with w.client() as first, w.client() as second:
             first.writer.write(head(79, SIZE) + BODY[: SIZE // 2])
@@ -96,7 +96,7 @@
 async def test_a_pipelined_long_body_counts_in_the_budget_until_its_answer() -> None:
     """If it were released with the previous response, memory use could exceed the budget."""
     async with world(hang, **LONG_BODY_SETTINGS) as w, w.client() as client:
-        buffers, sizes = w.gateway.server.buffers, (200_000, 300_000)
+        buffers, sizes = w.gateway.memory, (200_000, 300_000)
         for number, size in enumerate(sizes):
             client.writer.write(head(90 + number, size) + BODY[:size])
         await w.hosts[0].came.get()
--- a/tests/downstream/test_request_parser.py
+++ b/tests/downstream/test_request_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import itertools
 from collections.abc import Sequence
 from pathlib import Path
@@ -13,7 +14,12 @@
 import quillroad.downstream
 from quillroad.config import SHORT_BODY
 from quillroad.downstream.request_parser import (
+    FIELD_OBJECT_BYTES,
+    FREE_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
     MAX_PIPELINED_REQUESTS,
+    MIN_SLICE_BYTES,
+    TURN_WORK,
     PendingRequest,
     RequestParser,
 )
@@ -31,7 +37,7 @@
     WrongMethodError,
 )
 from quillroad.framing import HEAD_LIMIT, check_framing
-from quillroad.overload.body_budget import BodyBudget
+from quillroad.overload.memory_account import MemoryAccount
 from tests.net import make_config
 
 PLAIN = RequestValidator(make_config(1))
@@ -44,7 +50,7 @@
 
 
 def new_parser(validator: RequestValidator = PLAIN, budget: int = 1 << 20) -> RequestParser:
-    return RequestParser(validator, BodyBudget(budget), lambda: 200)
+    return RequestParser(validator, MemoryAccount(budget), lambda: 200)
 
 
 def parse_all(parser: RequestParser, pieces: Sequence[bytes]) -> list[PendingRequest]:
@@ -268,3 +274,62 @@
     assert len(files) > 10
     for file in files:
         assert "quillroad.upstream" not in file.read_text(), file.name
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        POST % (1, 200_000) + b"x" * 100_000,
+        b"GET /status-check/k HTTP/1.1\r\n" + b"n" * (3 * HEAD_LIMIT),
+        b"rubbish\r\n\r\n",
+        b"POST /audit/k HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        GET % 1 + b"PUT /status-check/k HTTP/1.1\r\nRequest-Id: 1\r\n\r\n",
+    ],
+)
+def test_a_rejected_request_leaves_no_reference_cycle(data: bytes) -> None:
+    """The input would stay in memory until the garbage collector runs."""
+    gc.collect()
+    gc.disable()
+    try:
+        parser = new_parser(LONG_BODIES, budget=70_000)
+        assert any(pending.status >= 400 for pending in parse_all(parser, [data]))
+        parser.close()
+        del parser
+        assert gc.collect() == 0
+    finally:
+        gc.enable()
+
+
+def test_one_call_parses_a_bounded_amount_of_work() -> None:
+    """A read of very short fields or chunks takes a hundred times as long as one of a body."""
+    head = b"POST /audit/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\n"
+    for costly in (
+        head + b"a:\r\n" * 1000,
+        head + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 20_000,
+        head + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + b"a:\r\n" * 20_000,
+    ):
+        parser = new_parser(LONG_BODIES)
+        parser.append(costly)
+        while parser.unparsed:
+            before = parser._work
+            parser.feed()
+            assert parser._work - before <= TURN_WORK + MIN_SLICE_BYTES // 4
+
+
+def test_a_head_is_accounted_for_by_its_objects_and_has_a_limit_of_fields() -> None:
+    """A field of four bytes takes more than a hundred bytes of memory."""
+    memory = MemoryAccount(1 << 20)
+    parser = RequestParser(PLAIN, memory, lambda: 200)
+    fields = MAX_HEADER_FIELDS - 10
+    parse_all(parser, [b"GET /status-check/k HTTP/1.1\r\n" + b"a:\r\n" * fields])
+    assert memory.used + FREE_HEAD_BYTES > fields * FIELD_OBJECT_BYTES
+    (failed,) = parse_all(parser, [b"a:\r\n" * 20])
+    assert (failed.status, failed.reason) == (431, "head too long")
+    memory.give(failed.reserved)
+    assert memory.used == parser.close() == 0
+
+
+def test_a_head_that_does_not_fit_into_the_account_is_rejected() -> None:
+    parser = new_parser(budget=100_000)
+    (failed,) = parse_all(parser, [b"GET /status-check/k HTTP/1.1\r\n" + b"a:\r\n" * 1000])
+    assert (failed.status, failed.route, failed.keep_alive) == (503, 0, False)
--- a/tests/upstream/test_second_answers.py
+++ b/tests/upstream/test_second_answers.py
@@ -66,18 +66,21 @@
         asyncio.get_running_loop().call_later(WRITE_PAUSE_S, self.second_answer_written.set)
 
 
-async def body_of(reply: Answer | None) -> bytes:
-    """Return the whole body of an answer, streamed or not."""
-    assert reply is not None
-    if reply.stream is None:
-        return reply.body
-    pieces = [reply.body]
-    ends: list[bool] = []
-    reply.stream.on_data = pieces.append
-    reply.stream.on_end = ends.append
-    await until(lambda: bool(ends))
-    assert ends == [True]
-    return b"".join(pieces)
+class ReceivedBody:
+    """The body of an answer, streamed or not; like a client connection, it takes data at once."""
+
+    def __init__(self, reply: Answer) -> None:
+        self._pieces = [reply.body]
+        self._ends = [] if reply.stream is not None else [True]
+        if reply.stream is not None:
+            reply.stream.on_data = self._pieces.append
+            reply.stream.on_end = self._ends.append
+
+    async def whole(self) -> bytes:
+        """Return the whole body."""
+        await until(lambda: bool(self._ends))
+        assert self._ends == [True]
+        return b"".join(self._pieces)
 
 
 class StreamingHarness(UpstreamHarness):
@@ -85,18 +88,17 @@
 
     async def ask(self, target: str) -> bytes:
         """Return the body that the request for this target is answered with."""
-        bodies: list[asyncio.Future[bytes]] = []
+        bodies: list[ReceivedBody] = []
 
         def done(outcome: Outcome, reply: Answer | None, _: float) -> None:
             assert outcome is Outcome.SUCCESS
-            bodies.append(asyncio.ensure_future(body_of(reply)))
-            if reply is not None and reply.stream is not None:
-                reply.stream.on_end = lambda complete: None  # the client takes the rest
+            assert reply is not None
+            bodies.append(ReceivedBody(reply))
 
         request = f"GET {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
         self.upstream.start(self.host, request, 15.0, done)
         await until(lambda: bool(bodies))
-        return await bodies[0]
+        return await bodies[0].whole()
 
 
 @pytest.mark.parametrize(
