A stall of the gateway's own ejects no host, whatever event comes first after it

Cause: a stall was detected by timers and by new requests only. Where it began in a socket callback, such as the parsing of a long input, an answer of a host in the same turn came first: the balancer was called with the time after the stall, and all attempts counted as overdue, although their answers were in the kernel, unread. Engine.feed asks for a stall now, for every event.

Same class: after a late tick, data read in that turn was taken for fresh, although it had waited for the tick (late() is True until the next tick now); and a connect takes some turns of the loop, so that with turns of 60 to 150 ms, which are no stall, a timeout of 200 ms was a failure of the host. It is none if this process was late for a quarter of the timeout.

Test: test_no_host_is_ejected_by_the_first_event_after_a_stall; before: overdue [1, 1, 1] of three healthy hosts. Decisions are unchanged.

An upgrade's two processes have half of the account each (worker_process).

--- a/quillroad/engine/engine.py
+++ b/quillroad/engine/engine.py
@@ -211,6 +211,9 @@
         self._events.append(event)
         if self._processing_events:
             return
+        # The first event after a stall may be any, such as an answer. Without this, all attempts
+        # would be overdue by the time of the stall, before the answers to them were read.
+        self._loop_monitor.stalled()
         self._processing_events = True
         try:
             while self._events:
--- a/quillroad/overload/event_loop_lag.py
+++ b/quillroad/overload/event_loop_lag.py
@@ -26,6 +26,8 @@
 
     def __init__(self, now: float) -> None:
         self.last_tick = now  # time of the last tick
+        self._tick_was_late = False  # the last one: data read since then may have waited
+        self._lag_s = 0.0  # by which all late ticks together were late
         self._ticking = False
         self.catching_up = False  # a stall was detected; not all sockets have been read yet
         self.stalls = 0  # number of stalls detected
@@ -44,15 +46,31 @@
 
     def tick(self, now: float) -> None:
         """Record that the loop ran the tick timer."""
+        self._record_lag(now)
+        self._tick_was_late = now - self.last_tick > LATE_S
         self.last_tick = now
 
+    def _record_lag(self, now: float) -> None:
+        self._lag_s += self._current_lag_s(now)
+
+    def _current_lag_s(self, now: float) -> float:
+        since_tick_s = now - self.last_tick
+        return since_tick_s - TICK_S if self._ticking and since_tick_s > LATE_S else 0.0
+
+    def total_lag_s(self, now: float) -> float:
+        """Return the seconds by which all late ticks together were late.
+
+        The difference of two results tells for how long the loop read no sockets in between.
+        """
+        return self._lag_s + self._current_lag_s(now)
+
     def late(self, now: float) -> bool:
         """Return whether data read now may have waited longer than in a healthy loop.
 
         Also True while no ticks are expected: the lag is unknown then, and querying the age of data
         is cheap while there is no work.
         """
-        return now - self.last_tick > LATE_S
+        return self._tick_was_late or now - self.last_tick > LATE_S
 
     def stalled(self, now: float) -> bool:
         """Return whether timers must be deferred: the loop stalled and has not caught up yet."""
@@ -63,7 +81,9 @@
 
     def caught_up(self, now: float) -> None:
         """End the stall, after all sockets have been read."""
+        self._record_lag(now)
         self.catching_up = False
+        self._tick_was_late = True
         self.last_tick = now
 
     def clock(self, now: float) -> float:
--- a/quillroad/overload/event_loop_monitor.py
+++ b/quillroad/overload/event_loop_monitor.py
@@ -44,6 +44,10 @@
         """Return whether data read now may have waited, so that its age has to be queried."""
         return self.busy or self.loop_lag.late(time.monotonic())
 
+    def total_lag_s(self) -> float:
+        """Return the seconds by which all late ticks together were late."""
+        return self.loop_lag.total_lag_s(time.monotonic())
+
     def stalled(self) -> bool:
         """Return whether callbacks have to be postponed with `defer`.
 
--- a/quillroad/upgrade/worker_process.py
+++ b/quillroad/upgrade/worker_process.py
@@ -125,6 +125,7 @@
             self._sibling = Channel(self._loop, sock, self._on_sibling_message, self._on_link_lost)
         except PermissionError as error:
             log.error("cannot open the link to the sibling process: %s", error)
+        self._divide_memory()
 
     def _on_sibling_message(self, message: Message, descriptors: list[int]) -> None:
         if isinstance(message, OperatorActions):
@@ -149,6 +150,7 @@
         if self._sibling is not None:
             self._sibling.close()
             self._sibling = None
+            self._divide_memory()
         if self._sibling_update_timer is not None:
             self._sibling_update_timer.cancel()
             self._sibling_update_timer = None
@@ -156,6 +158,12 @@
             self.engine.on_change = None
             self._perform_all(self._state.link_lost())
 
+    def _divide_memory(self) -> None:
+        """Use half of the memory for what peers make the process hold while there is a sibling."""
+        if self._gateway is not None:
+            processes = 1 if self._sibling is None else 2
+            self._gateway.memory.limit = self._gateway.config.peer_memory_bytes // processes
+
     def _send_to_sibling(self, message: Message, descriptors: Sequence[int] = ()) -> None:
         if self._sibling is not None:
             self._sibling.send(message, descriptors)
@@ -171,6 +179,7 @@
         gateway = Gateway(config, self._loop, SiblingEngine, MigratingServer, self._zones)
         self._gateway = gateway
         set_descriptor_limit(gateway, descriptors)
+        self._divide_memory()
         server = gateway.server
         assert isinstance(server, MigratingServer)
         self._migrations = Migrations(server)
--- a/quillroad/upstream/outcome.py
+++ b/quillroad/upstream/outcome.py
@@ -32,7 +32,7 @@
     CANCELLED_CONNECTING = "cancelled while the connection was being established"
     CANCELLED = "cancelled after the connection had been established"
     CONNECT_FAILED = "the host refused the connection or did not accept it in time"
-    CONNECT_TIMEOUT_IN_STALL = "the connect timed out, but this process itself had stalled"
+    CONNECT_TIMEOUT_IN_STALL = "the connect timed out, but this process itself was late"
     WITHDRAWN = "withdrawn unsent: the host or client left, or no descriptor was free"
     CONNECTED_TOO_LATE = "the connection was established too late to send the request"
 
@@ -51,7 +51,7 @@
 # connection, because the host did answer.
 #
 # A connect that is cancelled says nothing about the host (NOT_SENT). A connect that times out does
-# (CONNECT_FAILED), unless this process stalled in the meantime and could not have seen that the
+# (CONNECT_FAILED), unless this process was late in the meantime and could not have seen that the
 # connection was established.
 ATTEMPT_RESULTS: dict[AttemptEnd, AttemptResult] = {
     AttemptEnd.ANSWER_200: AttemptResult(Outcome.SUCCESS, may_have_run=True),
--- a/quillroad/upstream/pool.py
+++ b/quillroad/upstream/pool.py
@@ -39,6 +39,9 @@
 # right after the first. Within this time the second answer arrives on an idle connection, which is
 # then closed; otherwise the answer would be given to the next client.
 REUSE_DELAY_S = 0.02
+# Fraction of the connect timeout for which this process may be late: with more, a connect that was
+# not established in time is no evidence against the host.
+MAX_LAG_FRACTION = 0.25
 # Fraction of the hosts' idle timeout after which this side closes an idle connection. If the host
 # closed it first, a request could be sent at the same time and would be lost.
 IDLE_TIMEOUT_FRACTION = 0.5
@@ -135,15 +138,15 @@
         self, attempt: Attempt, connection: HostConnection, request: bytes, body: bytes | bytearray
     ) -> None:
         host = attempt.host
+        lag_before_s = self.loop_monitor.total_lag_s()
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self._loop.create_connection(lambda: connection, *host.address)
         except TimeoutError:
-            # After an event loop stall it is unknown whether the host accepted the connection in
-            # time.
-            stalled = self.loop_monitor.stalled()
             attempt.end(
-                AttemptEnd.CONNECT_TIMEOUT_IN_STALL if stalled else AttemptEnd.CONNECT_FAILED
+                AttemptEnd.CONNECT_TIMEOUT_IN_STALL
+                if self._was_late(lag_before_s)
+                else AttemptEnd.CONNECT_FAILED
             )
             return
         except OSError:
@@ -161,6 +164,15 @@
         else:
             connection.send(attempt, request, body)
 
+    def _was_late(self, lag_before_s: float) -> bool:
+        """Return whether this process was late for a large part of a connect.
+
+        It is then unknown whether the host accepted the connection in time: a connect takes some
+        iterations of the event loop.
+        """
+        own_lag_s = self.loop_monitor.total_lag_s() - lag_before_s
+        return self.loop_monitor.stalled() or own_lag_s > MAX_LAG_FRACTION * self.connect_timeout_s
+
     def _on_connect_task_done(self, connection: HostConnection, task: asyncio.Task[None]) -> None:
         """Release the descriptor of a failed or cancelled connect.
 
--- a/tests/overload/test_event_loop_lag.py
+++ b/tests/overload/test_event_loop_lag.py
@@ -6,14 +6,16 @@
 import time
 from pathlib import Path
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from quillroad.balancing.events import TimerFired
 from quillroad.overload.event_loop_lag import LATE_S, STALL_S, TICK_S, EventLoopLag
 from testbed.account import RequestClass, count_outcomes, total
 from testbed.environment import Environment
 from testbed.schedule import steady
-from tests.net import Message, answer, on_loop, until, world
+from tests.net import Message, answer, hang, on_loop, told_settings, until, world
 from tests.overload.support import block_process
 
 REQUEST_CLASSES = [
@@ -149,3 +151,55 @@
         assert {r.status for r in records_after_stall} == {200}
     assert "eject server" not in environment.log
     assert "event loop stalled" in environment.log
+
+
+@on_loop
+async def test_no_host_is_ejected_by_the_first_event_after_a_stall() -> None:
+    """The stall is in a socket callback, and the next event is fed before any timer runs.
+
+    Answers may be in the kernel: attempts must not be overdue before these have been read.
+    """
+    settings = told_settings()
+    for lane in settings["lanes"]:
+        lane["goal_time"] = 100_000
+    async with world(*[hang] * 3, settings=settings) as w:
+        clients = [await w.client().__aenter__() for _ in range(3)]
+        for client in clients:
+            client.send()
+        await until(lambda: sum(len(host.seen) for host in w.hosts) == len(clients))
+        engine = w.gateway.engine
+        block_process(1.0)
+        engine.feed(TimerFired(0))
+        hosts = list(engine._balancer.hosts.values())
+        assert [host.overdue for host in hosts] == [0, 0, 0]
+        assert not any(host.ejections for host in hosts)
+        # Once all sockets have been read, hosts that sent nothing count as silent.
+        await until(lambda: not engine._loop_monitor.stalled())
+        engine.feed(TimerFired(0))
+        assert sum(host.overdue for host in hosts) == len(clients)
+        for client in clients:
+            await client.__aexit__()
+
+
+def test_data_read_after_a_late_tick_may_have_waited() -> None:
+    """The tick itself comes before the sockets are read that waited for it."""
+    loop_lag = EventLoopLag(10.0)
+    loop_lag.begin(10.0)
+    loop_lag.tick(10.0 + LATE_S + 0.01)
+    assert loop_lag.late(10.0 + LATE_S + 0.02)
+    loop_lag.tick(10.0 + LATE_S + 0.01 + TICK_S)
+    assert not loop_lag.late(10.0 + LATE_S + 0.02 + TICK_S)
+
+
+def test_total_lag_counts_late_ticks_and_the_current_delay() -> None:
+    loop_lag = EventLoopLag(10.0)
+    loop_lag.begin(10.0)
+    loop_lag.tick(10.0 + TICK_S)
+    assert loop_lag.total_lag_s(10.0 + 2 * TICK_S) == 0.0
+    late_at = 10.0 + TICK_S + 0.100
+    assert loop_lag.total_lag_s(late_at) == pytest.approx(0.100 - TICK_S)
+    loop_lag.tick(late_at)
+    assert loop_lag.total_lag_s(late_at) == pytest.approx(0.100 - TICK_S)
+    assert loop_lag.stalled(late_at + 1.0)
+    loop_lag.caught_up(late_at + 1.0)
+    assert loop_lag.total_lag_s(late_at + 1.0) == pytest.approx(1.100 - 2 * TICK_S)
