A client's end behind much unread input stops attempts; ids outlive clients

Cause 1: a disconnect is looked for in the state of the socket. Behind more input than the receive window takes the FIN is still at the client's kernel, and the state says ESTABLISHED. Where unread data fills half of the receive buffer (SO_MEMINFO) and no answer was written in the last 0.05 s, which would have led to a reset, no attempt begins and the request is answered at once (503 before any attempt, else 502). Cause 2: an id was forgotten as soon as its client had left, although the attempt went on. Safe classes may come again as before.

Tests, all failing on: a disconnect behind 20,000 requests (2 attempts), ids that come again (503 and 502 in place of 400: sent again), the abandoned id at the other process (timed out: sent).

--- a/quillroad/downstream/connection.py
+++ b/quillroad/downstream/connection.py
@@ -33,7 +33,7 @@
 from quillroad.errors import RequestTimeoutError
 from quillroad.overload.admission_queue import QueuedRequest
 from quillroad.overload.fast_path_parse import preview_request
-from quillroad.overload.socket_age import data_age, has_ended
+from quillroad.overload.socket_age import data_age, has_ended, is_window_short
 
 if TYPE_CHECKING:
     from quillroad.downstream.server import Server
@@ -194,7 +194,7 @@
         """Reject a request that was not passed to the parser."""
         if self._server.on_end is not None:
             self._server.on_end(route, 503)
-        self.last_change = monotonic()
+        self._answered_at = self.last_change = monotonic()
         self._parser.completed += 1
         if self._transport is None:
             return
@@ -306,8 +306,8 @@
             self._reject()
             return
         engine = self._server.engine
-        if engine.is_unanswered(request.id):
-            log.info("400: Request-Id of a request that is still open")
+        if engine.is_repeated(request):
+            log.info("400: Request-Id of a request that may have been executed")
             self.answer(Reply(400))
             return
         arrived_at = request.received_at
@@ -389,6 +389,18 @@
 
     # Queries of the server and the engine.
 
+    def may_have_left(self) -> bool:
+        """Whether the client may have disconnected without a sign of it.
+
+        Behind input that exceeds the receive window, the end of the connection is still at the
+        client's kernel. A client that had left by the last answer would have reset the connection.
+        """
+        return (
+            self.reading_paused
+            and monotonic() - self._answered_at > DISCONNECT_CHECK_AGE_S
+            and is_window_short(self._sock)
+        )
+
     def may_close(self) -> bool:
         """Whether it is idle, with no response bytes to write and no received bytes to read."""
         return self.idle() and not self.output_pending and not self.unread()
--- a/quillroad/downstream/connection_output.py
+++ b/quillroad/downstream/connection_output.py
@@ -48,6 +48,7 @@
         self.may_have_disconnected = False
         self.output_pending = False
         self.last_change = monotonic()
+        self._answered_at = 0.0  # time of the last response, monotonic (s)
         self._unread_bytes = (
             0  # response bytes that the client had not acknowledged at the last check
         )
@@ -98,7 +99,7 @@
         self._answering = ANSWER_AFTER[self._answering][AnswerEvent.FINISH]
         if self._reserved:
             self._release_request()
-        self.last_change = monotonic()
+        self._answered_at = self.last_change = monotonic()
         if self._route >= 0:
             if self._server.on_end is not None:
                 self._server.on_end(self._route, reply.status)
--- a/quillroad/engine/client_request.py
+++ b/quillroad/engine/client_request.py
@@ -14,7 +14,8 @@
 
     `received_at` is the arrival time, before any queueing in this process, and `deadline_at` the
     time at which the client stops waiting; both are seconds of the monotonic clock.
-    `work_estimate_us` is the client's estimate of the work, in microseconds.
+    `work_estimate_us` is the client's estimate of the work, in microseconds. `repeatable` requests
+    have no effect that a second execution could repeat.
     """
 
     id: str
@@ -27,3 +28,4 @@
     work_estimate_us: int | None
     head: bytes  # request line and headers to forward, without the deadline header
     body: bytes | bytearray  # complete; not modified after this point
+    repeatable: bool = True
--- a/quillroad/engine/engine.py
+++ b/quillroad/engine/engine.py
@@ -163,6 +163,7 @@
     def client_disconnected(self, open_request: OpenRequest) -> None:
         """Note that the client disconnected; does nothing if the request was already answered."""
         if open_request.reply is not None:
+            self._remember(open_request)
             self._clear_reply(open_request)
             self.feed(ClientDisconnected(open_request.number))
             self._remove_if_finished(open_request)
@@ -307,7 +308,7 @@
             client.may_have_disconnected
             or started_at - self._loop_lag.last_tick > CLIENT_CHECK_LAG_S
         ):
-            self._depart_if_disconnected(open_request, client)
+            self._check_client(open_request, client)
         host = self.hosts.get(action.endpoint)
         send_by = math.inf
         if action.send_by_us:
@@ -363,16 +364,25 @@
     def _before_send(self, open_request: OpenRequest) -> None:
         """Withdraw an attempt whose client has left while its connection was being established."""
         if open_request.client is not None:
-            self._depart_if_disconnected(open_request, open_request.client)
+            self._check_client(open_request, open_request.client)
 
-    def _depart_if_disconnected(self, open_request: OpenRequest, client: Requester) -> None:
+    def _check_client(self, open_request: OpenRequest, client: Requester) -> None:
         """Check for a client disconnect that may not have been read yet.
 
         That happens when reading is paused because the client pipelined requests, or when the event
-        loop is late. Without this, hosts would work on requests of clients that have left.
+        loop is late. Without this, hosts would work on requests of clients that have left. Where it
+        cannot be known the request is answered at once.
         """
-        if open_request.reply is not None and client.has_disconnected():
+        if open_request.reply is None:
+            return
+        if client.has_disconnected():
             self.client_disconnected(open_request)
+        elif client.may_have_left():
+            log.info(
+                "request %s: not sent, its client has sent too much ahead", open_request.request.id
+            )
+            status = FAILED if open_request.attempts else REJECTED
+            self._answer_undecided(open_request, Reply(status))
 
     def _report_failed_start(self, open_request: OpenRequest, outcome: Outcome) -> None:
         number = len(open_request.attempts)
--- a/quillroad/engine/open_request.py
+++ b/quillroad/engine/open_request.py
@@ -33,6 +33,7 @@
         self.reply: Callable[[Reply], None] | None = reply  # None: answered or client left
         self.attempts: list[Attempt | None] = []  # None: never sent, or finished
         self.attempts_in_flight = 0
+        self.is_remembered = False  # its id is one of the abandoned ids
         self.on_removed: Callable[[], None] | None = None  # no attempt needs the body any more
         self.fallback_timer: asyncio.TimerHandle | None = None  # the engine answers when it fires
 
--- a/quillroad/engine/request_table.py
+++ b/quillroad/engine/request_table.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from time import monotonic
 
+from quillroad.engine.abandoned_ids import AbandonedIds
+from quillroad.engine.client_request import ClientRequest
 from quillroad.engine.open_request import OpenRequest
 from quillroad.engine.reply import Reply
 
@@ -18,11 +21,21 @@
     def __init__(self) -> None:
         self._open: dict[int, OpenRequest] = {}  # by number
         self._unanswered_ids: set[str] = set()  # request ids
+        self.abandoned_ids = AbandonedIds()
 
     def is_unanswered(self, request_id: str) -> bool:
         """Return whether a request with this id is unanswered."""
         return request_id in self._unanswered_ids
 
+    def is_repeated(self, request: ClientRequest) -> bool:
+        """Return whether a request may have been executed, so that it must not be sent again.
+
+        It is unanswered, or has an effect and was abandoned by its client lately.
+        """
+        return self.is_unanswered(request.id) or (
+            not request.repeatable and self.abandoned_ids.contains(request.id, monotonic())
+        )
+
     @property
     def unanswered(self) -> int:
         """Number of unanswered requests."""
@@ -38,6 +51,13 @@
         if send is not None:
             send(reply)
 
+    def _remember(self, open_request: OpenRequest) -> None:
+        """Remember the id of an abandoned request that may have an effect."""
+        request = open_request.request
+        if open_request.attempts and not request.repeatable:
+            self.abandoned_ids.remember(request.id, monotonic())
+            open_request.is_remembered = True
+
     def _clear_reply(self, open_request: OpenRequest) -> None:
         """Mark the request as answered or abandoned by its client."""
         open_request.reply = None
@@ -56,6 +76,8 @@
             open_request.withdraw_connecting_attempts()
         if not open_request.attempts_in_flight:
             self._open.pop(open_request.number, None)
+            if open_request.is_remembered:
+                self._remember(open_request)  # its attempts may have gone on for long
             if open_request.on_removed is not None:
                 open_request.on_removed()
                 open_request.on_removed = None
--- a/quillroad/overload/socket_age.py
+++ b/quillroad/overload/socket_age.py
@@ -17,6 +17,12 @@
 # sent a FIN, even if data received before it is still unread.
 TCP_CLOSE = 7
 TCP_CLOSE_WAIT = 8
+# Option of socket(7), of which Python has no name: sizes of the buffers of a socket, of which the
+# first two are the memory that received data takes and its limit.
+SO_MEMINFO = 55
+_MEMINFO = struct.Struct("II")
+# Part of the limit up to which the receive window is open, however the data was cut into packets.
+MAX_FILL_FRACTION = 0.5
 _UINT32 = struct.Struct("I")
 _INT = struct.Struct("i")
 _ZERO_INT = _INT.pack(0)
@@ -55,6 +61,20 @@
         return False
 
 
+def is_window_short(sock: Socket) -> bool:
+    """Return whether unread data fills much of the receive buffer (`SO_MEMINFO`).
+
+    The peer may then have more to send, and the end of the connection behind it. False if the
+    system does not provide the sizes.
+    """
+    try:
+        sizes = sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, _MEMINFO.size)
+        used, limit = _MEMINFO.unpack(sizes)
+    except (OSError, AttributeError, struct.error):
+        return False
+    return bool(used > MAX_FILL_FRACTION * limit)
+
+
 def unacknowledged(sock: socket.socket) -> int:
     """Return the bytes written that the peer has not acknowledged (`SIOCOUTQ`, tcp(7)).
 
--- a/quillroad/upgrade/sibling_engine.py
+++ b/quillroad/upgrade/sibling_engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from time import monotonic
 
 from quillroad.balancing.balancer import Balancer
 from quillroad.balancing.events import Event, SiblingAttempts
@@ -25,7 +26,8 @@
 class SiblingEngine(Engine):
     """An engine that may have a sibling.
 
-    `on_change` is called when the result of `attempts_in_flight` may have changed.
+    `on_change` is called when the result of `attempts_in_flight` may have changed, with whether the
+    sibling has to know at once.
     """
 
     def __init__(
@@ -34,7 +36,7 @@
         super().__init__(loop, balancer, upstream)
         self.counts = RequestCounts()
         self.sibling_request_ids: set[str] = set()  # requests open at the sibling
-        self.on_change: Callable[[], None] | None = None
+        self.on_change: Callable[[bool], None] | None = None
         self._reported_attempts: dict[int, tuple[int, int]] = {}
         self._reported_ids: set[str] = set()
         self._sibling_attempts: dict[int, tuple[int, int]] = {}
@@ -79,7 +81,13 @@
             self.feed(SiblingAttempts(self._sibling_attempts, owns_slow_start))
 
     def forget_sibling(self) -> None:
-        """Drop all that the sibling reported: it no longer serves requests."""
+        """Drop all that the sibling reported: it no longer serves requests.
+
+        What it had not answered may still be at work at hosts.
+        """
+        now = monotonic()
+        for request_id in self.sibling_request_ids:
+            self.abandoned_ids.remember(request_id, now)
         self.sibling_request_ids.clear()
         self._reported_attempts = {}
         self._reported_ids = set()
@@ -90,14 +98,16 @@
         """Return the report for the sibling, or None if nothing changed since the last call.
 
         It holds all attempts in flight by host, and the ids of requests opened and ended since.
+        Those that a client has abandoned end when they are forgotten.
         """
         attempts = attempts_in_flight(self._balancer)
-        opened = self._unanswered_ids - self._reported_ids
-        ended = self._reported_ids - self._unanswered_ids
+        blocked = self._unanswered_ids.union(self.abandoned_ids.ids(monotonic()))
+        opened = blocked - self._reported_ids
+        ended = self._reported_ids - blocked
         if attempts == self._reported_attempts and not opened and not ended:
             return None
         self._reported_attempts = attempts
-        self._reported_ids = set(self._unanswered_ids)
+        self._reported_ids = blocked
         by_host = [(host, *counts) for host, counts in attempts.items()]
         return AttemptsInFlight(by_host, list(opened), list(ended))
 
@@ -107,10 +117,14 @@
         reply: Callable[[Reply], None],
         client: Requester | None = None,
     ) -> OpenRequest:
-        """Accept a request as `Engine.accept` does, and call `on_change`."""
+        """Accept a request as `Engine.accept` does, and call `on_change`.
+
+        The sibling has to know an id before its client can send it again, if the request has an
+        effect.
+        """
         opened = super().accept(request, reply, client)
         if self.on_change is not None:
-            self.on_change()
+            self.on_change(not request.repeatable)
         return opened
 
     def _answer(self, opened: OpenRequest, reply: Reply) -> None:
@@ -126,4 +140,4 @@
     def _handle_event(self, event: Event) -> None:
         super()._handle_event(event)
         if self.on_change is not None:
-            self.on_change()
+            self.on_change(False)
--- a/quillroad/upgrade/worker_process.py
+++ b/quillroad/upgrade/worker_process.py
@@ -283,7 +283,7 @@
                 self.gateway.server.pause_accepting()
                 self._serve_operators(False)
             case Step.UPDATE_SIBLING:
-                self.engine.on_change = self._update_sibling_soon
+                self.engine.on_change = self._on_engine_change
                 # At once: the sibling needs the spare descriptors of this process to serve.
                 self._update_sibling()
             case Step.MIGRATE:
@@ -328,6 +328,14 @@
             self._state.offered[batch] = len(descriptors)
             self._send_to_sibling(Connections(batch, request_counts), descriptors)
 
+    def _on_engine_change(self, urgent: bool) -> None:
+        if not urgent:
+            self._update_sibling_soon()
+            return
+        if self._sibling_update_timer is not None:
+            self._sibling_update_timer.cancel()
+        self._update_sibling()
+
     def _update_sibling_soon(self) -> None:
         if self._sibling_update_timer is None:
             self._sibling_update_timer = self._loop.call_later(
--- a/tests/downstream/test_departed_clients.py
+++ b/tests/downstream/test_departed_clients.py
@@ -20,6 +20,7 @@
     UnacceptingHost,
     World,
     answer,
+    hang,
     on_loop,
     reset,
     serve_ok,
@@ -238,3 +239,44 @@
         else:
             await until(lambda: sum(len(host.seen) for host in w.hosts) == seen_before + 2)
             assert w.gateway.engine.counters[DecisionCounter.HEDGES] == hedges_before + 1
+
+
+@pytest.mark.parametrize("stays", [True, False])
+@on_loop
+async def test_no_further_attempt_after_a_disconnect_behind_more_input_than_the_kernel_takes(
+    stays: bool,
+) -> None:
+    """The end of the connection is still at the client's kernel, behind input that is not read."""
+    held = HeldResponses()
+    async with world(held, held) as w:
+        client = await w.client().__aenter__()
+        client.writer.write(b"".join(HEAD + b"a%d\r\n\r\n" % n for n in range(20_000)))
+        await until(lambda: len(held.waiting) == 1)
+        await asyncio.sleep(0.2)  # what the kernels take
+        if not stays:
+            # Its kernel goes on sending what the client has written.
+            sock = client.writer.get_extra_info("socket").dup()
+            client.writer.transport.abort()
+            sock.close()
+        await asyncio.sleep(0.2)
+        held.answer(answer(b"", "503 Busy", "Not-Started: 1"))
+        if stays:
+            assert (await client.receive()).status in (502, 503)
+        else:
+            await wait_until_released(w)
+        assert sum(len(host.seen) for host in w.hosts) <= (2 if stays else 1)
+
+
+@pytest.mark.parametrize("path", ["/seat-checkout/k", "/audit/k"])
+@on_loop
+async def test_an_id_that_comes_again_after_its_client_left_is_not_sent_again(path: str) -> None:
+    """The host may still work on the first request: its effect would happen twice."""
+    async with world(hang) as w:
+        async with w.client() as first:
+            request_id = first.send(path)
+            await until(lambda: len(w.hosts[0].seen) == 1)
+        await wait_until_released(w)
+        async with w.client() as second:
+            again = await second.ask(path, Request_Id=request_id)
+            assert again.status == 400
+        assert len(w.hosts[0].seen) == 1
--- a/tests/upgrade/test_upgrades.py
+++ b/tests/upgrade/test_upgrades.py
@@ -303,6 +303,31 @@
         writer.close()
 
 
+@on_loop
+async def test_a_request_that_its_client_abandoned_at_the_old_process_is_not_sent_again(
+    tmp_path: Path,
+) -> None:
+    """The client of the test before leaves the old process first, which forgets no id by that."""
+    async with upgrade_setup(tmp_path, hosts=2, request_classes=PATIENT_REQUEST_CLASSES) as setup:
+        for host in setup.environment.hosts:
+            host.hangs = True
+        load = setup.environment.load()
+        _, data = load.request(1)
+        sock = socket.create_connection(setup.environment.gateway.address)
+        sock.sendall(data)
+        await until(lambda: bool(setup.environment.receipts()))
+        upgrading = asyncio.ensure_future(setup.upgrade())
+        while not any("stands by" in line for line in await setup.status()):
+            await asyncio.sleep(0.005)
+        sock.close()
+        await asyncio.sleep(0.1)  # for both processes to learn of it
+        reader, writer = await asyncio.open_connection(*setup.environment.gateway.address)
+        writer.write(data)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 400")
+        assert await upgrading == ""
+        assert len(setup.environment.receipts()) == 1
+
+
 @on_loop
 async def test_a_drain_reported_during_an_upgrade_applies_to_both_processes(tmp_path: Path) -> None:
     async with upgrade_setup(tmp_path) as setup:
