A drain lets long answers go on, and counts deadlines as the platform does

It lives on now until they have left it, for 60 s at most; workers of a supervisor too, until they are killed. A kill must not make a truncated body look whole: where the end of the connection ends the body, its socket is set to reset at a close from the first byte, and back after the last. Found beside it: with deadlines over 3 s the drain planned beyond the earliest SIGKILL (the longest deadline, 3 s at most, plus 0.7 s), so that requests it still held were lost.

Tests: test_a_long_answer_goes_on_after_sigterm (both versions cut before), and test_drain_ends_with_a_margin_before_sigkill: its one case had a deadline of 60 s and asked for an end after 60.5 s, against the terms; four deadlines now, and the same bounds.

--- a/quillroad/downstream/connection_output.py
+++ b/quillroad/downstream/connection_output.py
@@ -28,6 +28,7 @@
 
 log = logging.getLogger("quillroad.downstream")
 
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close with RST, unsent bytes are dropped
 
 
@@ -57,6 +58,7 @@
         # State of the request that is served or streamed:
         self._open_request: OpenRequest | None = None
         self._stream: BodyStream | None = None  # the rest of its streamed response body
+        self._ends_with_close = False  # whether the end of the connection ends that body
         self._chunked = False  # whether that body uses chunked coding
         self._keep_alive = True
         self._version = "1.1"
@@ -158,6 +160,9 @@
         self._chunked = length < 0 and self._version == "1.1"
         if self._server.draining or (length < 0 and not self._chunked):
             self._keep_alive = False  # a body without length and chunks ends with the connection
+        self._ends_with_close = length < 0 and not self._chunked
+        if self._ends_with_close:
+            self._reset_on_close(True)
         self._transport.write(streamed_head(content_type, length, self._chunked, self._keep_alive))
         stream.on_data = self._stream_data
         stream.on_end = self._stream_ended
@@ -192,23 +197,33 @@
             log.info(
                 "streamed response ended before its body was complete: resetting the connection"
             )
-            # With a reset: where the end of the connection ends the body, an orderly close would
-            # make the truncated body look complete.
-            with suppress(OSError):
-                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self._reset_on_close(True)
             self._mark_closing()
             self._transport.abort()
             return
         if self._chunked:
             self._transport.write(LAST_CHUNK)
+        elif self._ends_with_close:
+            self._reset_on_close(False)
         self._response_written(self._keep_alive, self._parser.has_more())
 
-    def reset_streams(self) -> None:
-        """Reset the connection if a response is being streamed, because the process exits.
+    def _reset_on_close(self, reset: bool) -> None:
+        """Set whether the kernel resets the connection at a close, also if the process is killed.
 
-        The kernel closes connections in an orderly way at exit: if the end of the connection ends
-        the body, the client would take a truncated body for a complete one.
+        Where the end of the connection ends the body, an orderly close would make a truncated body
+        look complete.
         """
+        with suppress(OSError):
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET if reset else ORDERLY_CLOSE
+            )
+
+    def has_output(self) -> bool:
+        """Whether a response is being streamed, or has bytes that are buffered here."""
+        return self._stream is not None or self.output_pending
+
+    def reset_streams(self) -> None:
+        """Reset the connection if a response is being streamed, because the process exits."""
         stream = self._stream
         if stream is not None:
             stream.abandon()
--- a/quillroad/downstream/server.py
+++ b/quillroad/downstream/server.py
@@ -301,6 +301,10 @@
         self._acceptor.close()
         self.close_idle()
 
+    def has_output(self) -> bool:
+        """Whether any response is being streamed, or has bytes that are buffered here."""
+        return any(connection.has_output() for connection in self.connection_limit.connections())
+
     def reset_streams(self) -> None:
         """Reset connections whose response is still being streamed, at the end of shutdown."""
         for connection in self.connection_limit.connections():
--- a/quillroad/gateway.py
+++ b/quillroad/gateway.py
@@ -46,6 +46,11 @@
 # A drain ends this long after SIGTERM plus the longest deadline. SIGKILL follows 0.7 s after that
 # deadline at the earliest, and the process needs some of that time to exit.
 DRAIN_MARGIN_S = 0.6
+# Longest deadline that is counted for that: SIGKILL comes no later for longer ones.
+MAX_COUNTED_DEADLINE_S = 3.0
+# Time after which long responses that are still being streamed are given up. SIGKILL usually comes
+# before.
+MAX_STREAM_DRAIN_S = 60.0
 # Interval at which a drain checks for open connections.
 DRAIN_POLL_S = 0.02
 
@@ -272,10 +277,23 @@
         That time is in seconds of the monotonic clock. A request that is complete only later, with
         a part received before this call, would otherwise have a deadline after the end.
         """
-        end = monotonic() + self.config.longest_deadline_s + DRAIN_MARGIN_S
+        longest_s = min(self.config.longest_deadline_s, MAX_COUNTED_DEADLINE_S)
+        end = monotonic() + longest_s + DRAIN_MARGIN_S
         self.server.latest_deadline_at = end - ANSWERS_FLUSH_S
         return end
 
+    async def finish_streams(self) -> None:
+        """Wait until long responses have left the process, and reset those that do not end.
+
+        A host may write them for longer than the longest deadline, and nothing is gained by cutting
+        them off before the process is killed.
+        """
+        end = monotonic() + MAX_STREAM_DRAIN_S
+        while self.server.has_output() and monotonic() < end:
+            await asyncio.sleep(DRAIN_POLL_S)
+            self.server.close_idle()
+        self.server.reset_streams()
+
     async def drain(self) -> None:
         """Answer the accepted requests, then close all client connections.
 
@@ -296,7 +314,7 @@
         while len(self.server.connection_limit) and monotonic() < end:
             await asyncio.sleep(DRAIN_POLL_S)
             self.server.close_idle()
-        self.server.reset_streams()
+        await self.finish_streams()
         if deregistration is not None:
             await deregistration
 
--- a/quillroad/upgrade/gateway_control.py
+++ b/quillroad/upgrade/gateway_control.py
@@ -45,7 +45,7 @@
     await wait_until_empty(server, end - ANSWERS_FLUSH_S, must_close)
     server.draining = True
     await wait_until_empty(server, end, lambda: True)
-    server.reset_streams()
+    await gateway.finish_streams()
     gateway.stop()
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -33,6 +33,7 @@
     told_settings,
     until,
     world,
+    write_with_pauses,
 )
 from tests.test_process import ended, program
 
@@ -184,25 +185,94 @@
         assert got.headers["connection"] == "close"
 
 
+@pytest.mark.parametrize("deadline_s", [0.4, 2.9, 3.0, 60.0])
 @on_loop
-async def test_drain_ends_with_a_margin_before_sigkill() -> None:
-    """From SIGTERM, for any longest deadline: the time left before SIGKILL covers the exit."""
-    async with world(serve_ok) as w:
-        longest_s = max(route.deadline_us for route in w.gateway.config.settings.routes) / 1e6
+async def test_drain_ends_with_a_margin_before_sigkill(deadline_s: float) -> None:
+    """From SIGTERM, for any longest deadline: the time left before SIGKILL covers the exit.
+
+    SIGKILL comes 0.7 s after the longest deadline, which counts as 3 s at most.
+    """
+    settings = told_settings()
+    for lane in settings["lanes"]:
+        lane |= {"goal_time": int(deadline_s * 1e6), "deadline": int(deadline_s * 1e6)}
+    async with world(serve_ok, settings=settings) as w:
+        counted_s = min(deadline_s, 3.0)
         before = time.monotonic()
         drain = asyncio.ensure_future(w.gateway.drain())
         await until(lambda: w.gateway.server.draining)
         after = time.monotonic()
         assert (
-            before + longest_s + 0.5
+            before + counted_s + 0.5
             <= w.gateway.server.latest_deadline_at
-            <= after + longest_s + 0.5
+            <= after + counted_s + 0.5
         )
         assert DRAIN_MARGIN_S - ANSWERS_FLUSH_S >= 0.5 and DRAIN_MARGIN_S <= 0.7 - 0.1
         assert FRONT_DELAY_S < DRAIN_MARGIN_S
         await drain
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@on_loop_within(40.0)
+async def test_a_long_answer_goes_on_after_sigterm_until_its_host_has_written_it(
+    tmp_path: Path, version: str
+) -> None:
+    """The host writes for longer than the longest deadline; a kill cuts visibly, and may not come.
+
+    For an HTTP/1.0 client the end of the connection ends the body.
+    """
+    body = b"x" * 400_000
+
+    async def write_slowly(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+        await write_with_pauses(writer, body, 2.0 * DEADLINE_S / 4)
+        if b"cut" not in message.first.encode():
+            writer.close()
+        else:
+            await asyncio.Event().wait()
+
+    backend = await FakeHost("s-0", write_slowly).start()
+    discovery = await FakeDiscovery(backend.entry()).start()
+    port = free_port()
+    data = config_data(
+        discovery.port,
+        listen=f"127.0.0.1:{port}",
+        settings=short_deadline_settings(),
+        admin_addr=f"127.0.0.1:{free_port()}",
+    )
+    process = await program(tmp_path, data)
+
+    writers: list[asyncio.StreamWriter] = []  # one that nobody refers to closes its connection
+
+    async def ask(path: str) -> asyncio.StreamReader:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                break
+            except OSError:
+                await asyncio.sleep(0.02)
+        writers.append(writer)
+        head = HEAD.format("1000", path[-3:]).replace("/status-check/k", path)
+        writer.write((head.replace("HTTP/1.1", f"HTTP/{version}") + "\r\n").encode())
+        return reader
+
+    while (await (await ask("/up")).readline()).split()[1:2] != [b"200"]:
+        await asyncio.sleep(0.02)
+    whole, cut = await ask("/status-check/all"), await ask("/status-check/cut")
+    for reader in (whole, cut):
+        assert b"200" in await reader.readuntil(b"\r\n\r\n")
+    process.send_signal(signal.SIGTERM)
+    received = await whole.read()
+    assert received.count(b"x") == len(body)
+    assert process.returncode is None  # the other answer has not ended
+    process.kill()
+    if version == "1.0":
+        with pytest.raises(ConnectionError):
+            await cut.read()
+    else:
+        assert not (await cut.read()).endswith(b"0\r\n\r\n")
+    await process.wait()
+
+
 DEADLINE_S = 1.2
 MIN_SIGKILL_DELAY_S = DEADLINE_S + 0.7  # SIGKILL comes no earlier
 # Delay of processes that wait for a core on a machine whose cores are all busy. A test above checks
