A new process at the address of one that has gone is not taken for it

Cause: a list was applied by id alone. Where it told of a new instance at an address before it told that the one there had gone (lists come seconds late), both were in use: requests of the old one went to the new process, beside its own share and without its slow start. Of two instances at one address the one that started earlier is removed now, else the one that drains; two of the same start and state stay, as nothing tells which is gone. Same class: Consul's lists preferred the instance known before even against a later start; a connect that began before a host's restart sent to the new process (it is withdrawn).

--- a/quillroad/discovery/platform_list.py
+++ b/quillroad/discovery/platform_list.py
@@ -51,6 +51,23 @@
     address: Address | None
 
 
+def _start_order(entry: _Entry) -> tuple[int, bool]:
+    """Return when the process of an instance started, for comparison."""
+    return entry.endpoint.started_us or 0, entry.endpoint.status is EndpointStatus.READY
+
+
+def _is_replaced(entry: _Entry, latest: Mapping[Address, _Entry]) -> bool:
+    """Return whether a later instance has taken over the address of this one."""
+    if entry.address is None:
+        return False
+    return _start_order(entry) < _start_order(latest[entry.address])
+
+
+def _removed(entry: _Entry) -> _Entry:
+    endpoint = entry.endpoint._replace(status=EndpointStatus.REMOVED)
+    return _Entry(endpoint, entry.name, None)
+
+
 class PlatformList:
     """The last endpoint list of this gateway.
 
@@ -67,6 +84,7 @@
         self._machine_types = {name: i for i, name in enumerate(machine_types)}
         self._endpoints: dict[str, Endpoint] = {}
         self._addresses: dict[str, Address] = {}
+        self._holders: dict[Address, str] = {}  # the latest instance at each address
 
     def read_document(self, document: bytes, known_before: int | None = None) -> ListChange | None:
         """Apply a JSON document; returns None if it changes nothing.
@@ -126,19 +144,46 @@
         self.generation = generation
         self._last_full_list = b""
         if kind is not UpdateKind.INCREMENTAL:
-            self._endpoints, self._addresses = {}, {}
+            self._endpoints, self._addresses, self._holders = {}, {}, {}
+        entries = self._without_replaced(entries)
         for endpoint, name, address in entries:
+            before = self._addresses.pop(name, None)
+            if before is not None and self._holders.get(before) == name:
+                del self._holders[before]
             if address is None:
                 self._endpoints.pop(name, None)
-                self._addresses.pop(name, None)
             else:
                 self._endpoints[name], self._addresses[name] = endpoint, address
+                self._holders[address] = name
         return ListChange(
             EndpointUpdate(kind, tuple(entry.endpoint for entry in entries), generation),
             {entry.endpoint.id: entry.name for entry in entries},
             {entry.endpoint.id: entry.address for entry in entries if entry.address is not None},
         )
 
+    def _without_replaced(self, entries: Sequence[_Entry]) -> list[_Entry]:
+        """Return the entries, with instances as removed whose address another one has taken over.
+
+        Of two instances with the same address the one that started earlier is gone, or else the one
+        that drains. Otherwise its requests would go to the new process, in addition to that one's
+        own share and although it may be warming up.
+        """
+        latest: dict[Address, _Entry] = {}
+        names = {entry.name for entry in entries}
+        known: list[_Entry] = []
+        for entry in entries:
+            holder = self._holders.get(entry.address) if entry.address is not None else None
+            if holder is not None and holder not in names:
+                known.append(_Entry(self._endpoints[holder], holder, entry.address))
+        for entry in (*known, *entries):
+            if entry.address is not None:
+                first = latest.setdefault(entry.address, entry)
+                if _start_order(entry) > _start_order(first):
+                    latest[entry.address] = entry
+        result = [_removed(entry) if _is_replaced(entry, latest) else entry for entry in entries]
+        result += [_removed(entry) for entry in known if _is_replaced(entry, latest)]
+        return result
+
     def recover_drains(self, document: bytes, only_readable: bool = False) -> ListChange | None:
         """Apply the drains of a document that cannot be read as a whole; None if it has none.
 
--- a/quillroad/discovery/reducer.py
+++ b/quillroad/discovery/reducer.py
@@ -104,8 +104,8 @@
 
         One entry per id and one id per address are accepted. Of entries with the same id the first
         one in service counts, or else the first. Of ids at the same address the order is: in
-        service, known before, first by name. Using both would send one process twice its share of
-        requests.
+        service, latest start that the source reports, known before, first by name. Using both would
+        send one process twice its share of requests.
         """
         ignored: list[str] = []
         by_id = _one_entry_per_id(instances, ignored)
@@ -122,10 +122,11 @@
         }
         return accepted, ignored
 
-    def _rank(self, instance: Instance) -> tuple[bool, bool, str]:
+    def _rank(self, instance: Instance) -> tuple[bool, int, bool, str]:
         remembered = self._remembered.get(instance.id)
         is_new = remembered is None or remembered.was_out
-        return instance.status is not InstanceStatus.UP, is_new, instance.id
+        is_out = instance.status is not InstanceStatus.UP
+        return is_out, -instance.started_us, is_new, instance.id
 
     def _started_us(self, instance: Instance, reports_start_times: bool, now_us: int) -> int:
         remembered = self._remembered.get(instance.id)
--- a/quillroad/engine/endpoint_sync.py
+++ b/quillroad/engine/endpoint_sync.py
@@ -51,9 +51,12 @@
 def _apply_endpoint(host: Host, upstream: Upstream, endpoint: Endpoint) -> None:
     host.zone = endpoint.zone
     if host.started_us != endpoint.started_us:
-        # The host's process restarted: idle connections to the previous one may hang forever.
+        # The host's process restarted: idle connections to the previous one may hang forever, and
+        # those being established reach the new one, which may be warming up.
         host.started_us = endpoint.started_us
         host.drop_idle()
+        for attempt in list(host.connecting):
+            attempt.withdraw()
     if endpoint.status is EndpointStatus.DRAINING:
         upstream.retire(host)
     else:
--- a/tests/discovery/test_reducer.py
+++ b/tests/discovery/test_reducer.py
@@ -221,3 +221,13 @@
             assert views.state.health is SourceHealth.FRESH
         else:
             assert views.state.health is not SourceHealth.FRESH
+
+
+def test_the_instance_that_started_last_is_used_at_an_address() -> None:
+    """The older entry is of a process that has gone and is still listed."""
+    reducer = Reducer((), ())
+    old = make_instance("old", port=7, started_us=50 * US_PER_S)
+    new = make_instance("new", port=7, started_us=90 * US_PER_S)
+    assert start_times_s(reducer, 100, old, reports_starts=True) == {"old": 50}
+    assert start_times_s(reducer, 110, old, new, reports_starts=True) == {"new": 90}
+    assert start_times_s(reducer, 120, new, old, reports_starts=True) == {"new": 90}
--- a/tests/engine/test_endpoint_sync.py
+++ b/tests/engine/test_endpoint_sync.py
@@ -7,12 +7,12 @@
 import pytest
 
 from quillroad.balancing.endpoint import Endpoint, EndpointStatus
-from quillroad.balancing.events import EndpointUpdate, UpdateKind
+from quillroad.balancing.events import EndpointUpdate, Outcome, UpdateKind
 from quillroad.config import RESERVED, Address, Descriptors
 from quillroad.engine.endpoint_sync import apply_endpoint_update
 from quillroad.overload.event_loop_monitor import EventLoopMonitor
 from quillroad.upstream.pool import Host, Upstream
-from tests.net import FakeHost, on_loop, until
+from tests.net import FakeHost, UnacceptingHost, on_loop, until
 
 NAMES = {1: "s-1", 2: "s-2"}
 ADDRESSES: dict[int, Address] = {1: ("127.0.0.1", 1), 2: ("127.0.0.1", 2)}
@@ -102,3 +102,19 @@
     host_table.update(Endpoint(1, started_us=started_us), addresses=addresses)
     assert [connection.is_closing() for connection in host.idle] == [not kept]
     assert host.started_us == started_us
+
+
+@on_loop
+async def test_a_connect_that_began_before_a_restart_sends_nothing() -> None:
+    """It would reach the new process, although it was allowed for the one before."""
+    unaccepting = UnacceptingHost()
+    host_table = HostTable()
+    host_table.update(Endpoint(1, started_us=7), addresses={1: unaccepting.address})
+    outcomes: list[Outcome] = []
+    host_table.upstream.start(
+        host_table.by_id[1], b"x", 5.0, lambda outcome, answer, at: outcomes.append(outcome)
+    )
+    await asyncio.sleep(0.05)
+    host_table.update(Endpoint(1, started_us=8), addresses={1: unaccepting.address})
+    await until(lambda: outcomes == [Outcome.NOT_SENT])
+    unaccepting.close()
