Requests that clients send again after a process was killed are served, not answered 400

The other process of the upgrade answered 400 ("still open") if it had not yet read the end of its link: the kernel closes the dying process's sockets one by one, and clients may learn of it first.

Ids that are open at the other process hold back requests with an effect only, for 0.05 s; if the process has ended by then the request is served (hosts drop a repeated key), unless it is unsafe: those ids are remembered for 10 s. If it has not, the answer is 400 as before.

--- a/quillroad/downstream/connection.py
+++ b/quillroad/downstream/connection.py
@@ -29,6 +29,7 @@
     idle_limit_s,
     receive_limit_s,
 )
+from quillroad.engine.client_request import ClientRequest
 from quillroad.engine.engine import Reply
 from quillroad.errors import RequestTimeoutError
 from quillroad.overload.admission_queue import QueuedRequest
@@ -40,6 +41,9 @@
 
 log = logging.getLogger("quillroad.downstream")
 
+# Time for the end of the other process of an upgrade to be noticed. Its clients may notice it first,
+# and send the requests again that it had not answered.
+SIBLING_END_S = 0.05
 # Callbacks of the parser in which deferred input may result before the next connection's turn.
 DEFERRED_WORK = 256
 # Age of received data from which a disconnect of the client is checked for: a client may give up
@@ -305,6 +309,15 @@
         if rejected:
             self._reject()
             return
+        if self._server.engine.is_open_at_sibling(request):
+            self._server.loop.call_later(SIBLING_END_S, self._accept, request)
+        else:
+            self._accept(request)
+
+    def _accept(self, request: ClientRequest) -> None:
+        """Pass a request to the engine, or answer it if it cannot be sent any more."""
+        if self._answering is AnswerState.CLOSED:
+            return  # the client has disconnected meanwhile
         engine = self._server.engine
         if engine.is_repeated(request):
             log.info("400: Request-Id of a request that may have been executed")
--- a/quillroad/downstream/request_validation.py
+++ b/quillroad/downstream/request_validation.py
@@ -111,7 +111,7 @@
             head=b"\r\n".join(forwarded) + b"\r\n",
             # A copy of a larger body would double its memory.
             body=b"" if idempotent else body if len(body) > MAX_COPIED_BODY_BYTES else bytes(body),
-            repeatable=idempotent,
+            idempotency=idempotency,
         )
 
     def _read_path(self, url: bytes) -> tuple[int, str | None]:
--- a/quillroad/engine/client_request.py
+++ b/quillroad/engine/client_request.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from quillroad.balancing.settings import Idempotency
+
 # A body of more bytes is passed on without a copy.
 MAX_COPIED_BODY_BYTES = 2048
 
@@ -14,8 +16,7 @@
 
     `received_at` is the arrival time, before any queueing in this process, and `deadline_at` the
     time at which the client stops waiting; both are seconds of the monotonic clock.
-    `work_estimate_us` is the client's estimate of the work, in microseconds. `repeatable` requests
-    have no effect that a second execution could repeat.
+    `work_estimate_us` is the client's estimate of the work, in microseconds.
     """
 
     id: str
@@ -28,4 +29,4 @@
     work_estimate_us: int | None
     head: bytes  # request line and headers to forward, without the deadline header
     body: bytes | bytearray  # complete; not modified after this point
-    repeatable: bool = True
+    idempotency: Idempotency = Idempotency.IDEMPOTENT
--- a/quillroad/engine/request_table.py
+++ b/quillroad/engine/request_table.py
@@ -5,12 +5,18 @@
 from collections.abc import Callable
 from time import monotonic
 
+from quillroad.balancing.settings import Idempotency
 from quillroad.engine.abandoned_ids import AbandonedIds
 from quillroad.engine.client_request import ClientRequest
 from quillroad.engine.open_request import OpenRequest
 from quillroad.engine.reply import Reply
 
 
+def has_effect(request: ClientRequest) -> bool:
+    """Return whether a second execution of a request would repeat an effect."""
+    return request.idempotency is not Idempotency.IDEMPOTENT
+
+
 class RequestTable:
     """The open requests of one engine.
 
@@ -28,14 +34,18 @@
         return request_id in self._unanswered_ids
 
     def is_repeated(self, request: ClientRequest) -> bool:
-        """Return whether a request may have been executed, so that it must not be sent again.
+        """Return whether a request may be at work at a host, so that it must not be sent again.
 
         It is unanswered, or has an effect and was abandoned by its client lately.
         """
-        return self.is_unanswered(request.id) or (
-            not request.repeatable and self.abandoned_ids.contains(request.id, monotonic())
+        return request.id in self._unanswered_ids or (
+            has_effect(request) and self.abandoned_ids.contains(request.id, monotonic())
         )
 
+    def is_open_at_sibling(self, request: ClientRequest) -> bool:
+        """Return whether another process of this gateway has reported a request with this id."""
+        return False
+
     @property
     def unanswered(self) -> int:
         """Number of unanswered requests."""
@@ -54,7 +64,7 @@
     def _remember(self, open_request: OpenRequest) -> None:
         """Remember the id of an abandoned request that may have an effect."""
         request = open_request.request
-        if open_request.attempts and not request.repeatable:
+        if open_request.attempts and has_effect(request):
             self.abandoned_ids.remember(request.id, monotonic())
             open_request.is_remembered = True
 
--- a/quillroad/upgrade/sibling_engine.py
+++ b/quillroad/upgrade/sibling_engine.py
@@ -12,10 +12,13 @@
 
 from quillroad.balancing.balancer import Balancer
 from quillroad.balancing.events import Event, SiblingAttempts
+from quillroad.balancing.settings import Idempotency
+from quillroad.engine.abandoned_ids import AbandonedIds
 from quillroad.engine.client_request import ClientRequest
 from quillroad.engine.engine import Engine
 from quillroad.engine.open_request import OpenRequest
 from quillroad.engine.reply import REJECTED, SERVED, Reply
+from quillroad.engine.request_table import has_effect
 from quillroad.engine.requester import Requester
 from quillroad.upgrade.canary import RequestCounts
 from quillroad.upgrade.messages import AttemptsInFlight
@@ -37,6 +40,7 @@
         self.counts = RequestCounts()
         self.sibling_request_ids: set[str] = set()  # requests open at the sibling
         self.on_change: Callable[[bool], None] | None = None
+        self._lost_ids = AbandonedIds()  # requests that were open at a sibling when it ended
         self._reported_attempts: dict[int, tuple[int, int]] = {}
         self._reported_ids: set[str] = set()
         self._sibling_attempts: dict[int, tuple[int, int]] = {}
@@ -65,6 +69,23 @@
         """Return whether a request with this id waits for its answer, here or at the sibling."""
         return super().is_unanswered(request_id) or request_id in self.sibling_request_ids
 
+    def is_open_at_sibling(self, request: ClientRequest) -> bool:
+        """Return whether the sibling has reported a request with this id, which has an effect."""
+        return has_effect(request) and request.id in self.sibling_request_ids
+
+    def is_repeated(self, request: ClientRequest) -> bool:
+        """Return whether a request may be at work at a host, so that it must not be sent again.
+
+        If a process ends, its clients send the requests again that they had sent on its
+        connections, with the same ids. Hosts drop the repeat of a key, but not of an unsafe one.
+        """
+        if super().is_repeated(request):
+            return True
+        if self.is_open_at_sibling(request):
+            return True
+        is_unsafe = request.idempotency is Idempotency.NON_IDEMPOTENT
+        return is_unsafe and self._lost_ids.contains(request.id, monotonic())
+
     def learn(self, report: AttemptsInFlight, owns_slow_start: bool) -> None:
         """Apply the sibling's report of its attempts in flight and open requests.
 
@@ -87,7 +108,7 @@
         """
         now = monotonic()
         for request_id in self.sibling_request_ids:
-            self.abandoned_ids.remember(request_id, now)
+            self._lost_ids.remember(request_id, now)
         self.sibling_request_ids.clear()
         self._reported_attempts = {}
         self._reported_ids = set()
@@ -124,7 +145,7 @@
         """
         opened = super().accept(request, reply, client)
         if self.on_change is not None:
-            self.on_change(not request.repeatable)
+            self.on_change(has_effect(request))
         return opened
 
     def _answer(self, opened: OpenRequest, reply: Reply) -> None:
