A closing listener accepts its backlog in batches; a soak of floods and kills

Cause: Acceptor.close() accepted up to 4,096 connections in one iteration of the loop. Each closed an idle one to make room, whose client came again at once, so that the backlog never ended: seconds, and more descriptors than the limit (762 of 512). It accepts as many as are queued when it begins (TCP_INFO of the listener), 10 ms an iteration; beyond the places silent ones are closed unread. Test: test_clients_that_connect_again_and_again_do_not_hold_up_a_close.

--- a/quillroad/downstream/connection.py
+++ b/quillroad/downstream/connection.py
@@ -41,7 +41,7 @@
 
 log = logging.getLogger("quillroad.downstream")
 
-# Time for the end of the other process of an upgrade to be noticed. Its clients may notice it first,
+# Time for the end of the other process of an upgrade to be noticed. Clients may notice it first,
 # and send the requests again that it had not answered.
 SIBLING_END_S = 0.05
 # Callbacks of the parser in which deferred input may result before the next connection's turn.
--- a/quillroad/downstream/server.py
+++ b/quillroad/downstream/server.py
@@ -199,12 +199,16 @@
         """Create the connection for an accepted socket; return None if it was rejected.
 
         Beyond the places, another connection is closed for it. If none can be closed, its request
-        is rejected where the fast path can do so; otherwise the connection is accepted.
+        is rejected where the fast path can do so; otherwise the connection is accepted. While the
+        listener closes, silent connections beyond the places are closed unread.
         """
         now = monotonic()
         limit = self.connection_limit
         candidate = None
         if not limit.has_place():
+            if self._acceptor.closing and not _has_data(sock):
+                sock.close()
+                return None
             candidate = limit.connection_to_end(now)
             # Silent connections may never send a request, so they do not count as a reason to
             # reject one.
@@ -301,6 +305,10 @@
         self._acceptor.close()
         self.close_idle()
 
+    def has_connections(self) -> bool:
+        """Whether there are client connections, or some are accepted from a closing listener."""
+        return len(self.connection_limit) > 0 or self._acceptor.closing
+
     def has_output(self) -> bool:
         """Whether any response is being streamed, or has bytes that are buffered here."""
         return any(connection.has_output() for connection in self.connection_limit.connections())
@@ -323,6 +331,14 @@
                 connection.abort()
 
 
+def _has_data(sock: socket.socket) -> bool:
+    """Return whether an accepted connection has received anything."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def _client_connections(descriptors: Descriptors) -> int:
     """Half of the descriptors; the other half is for host connections, one per request."""
     return max(1, descriptors.limit // 2)
--- a/quillroad/gateway.py
+++ b/quillroad/gateway.py
@@ -311,7 +311,7 @@
         )
         await asyncio.sleep(FRONT_DELAY_S)
         self.server.stop_listening()
-        while len(self.server.connection_limit) and monotonic() < end:
+        while self.server.has_connections() and monotonic() < end:
             await asyncio.sleep(DRAIN_POLL_S)
             self.server.close_idle()
         await self.finish_streams()
--- a/quillroad/overload/acceptor.py
+++ b/quillroad/overload/acceptor.py
@@ -20,6 +20,7 @@
 from typing import Generic, TypeVar
 
 from quillroad.overload.accept_backoff import AcceptBackoff
+from quillroad.overload.socket_age import backlog_length
 
 log = logging.getLogger("quillroad.overload")
 
@@ -44,6 +45,8 @@
 # Maximum number of accepts when the listener closes; at least BACKLOG, so that no connection in the
 # backlog is reset.
 MAX_ACCEPTS_ON_CLOSE = 4096
+# Duration of a batch of these in one iteration of the event loop.
+CLOSING_BATCH_S = 0.010
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
 
@@ -90,6 +93,8 @@
         self._has_capacity = has_capacity
         self._on_lost = on_lost
         self._listener: socket.socket | None = None
+        self._closing: socket.socket | None = None  # a listener whose backlog is being accepted
+        self._left_on_close = -1  # connections of its backlog to accept; -1: not known yet
         self._backoff = AcceptBackoff()
         self._resume_timer: asyncio.TimerHandle | None = None
         self._last_batch_end = 0.0  # monotonic time
@@ -112,17 +117,39 @@
         self._detach()
 
     def close(self) -> None:
-        """Accept all connections in the backlog, regardless of capacity, and close the listener.
+        """Accept the connections that are in the backlog now, and close the listener after them.
 
         Closing a listening socket resets the connections in its backlog, including those whose
-        clients have sent a complete request and would then get no answer.
+        clients have sent a complete request and would then get no answer. They are accepted
+        regardless of capacity, in batches: clients that connect again and again would occupy the
+        event loop otherwise. A second call closes the listener at once.
         """
-        if self._listener is None:
+        if self._closing is not None:
+            self._left_on_close = 0
+        self._closing = self._detach() or self._closing
+        if self._closing is not None:
+            if self._left_on_close < 0:
+                self._left_on_close = min(MAX_ACCEPTS_ON_CLOSE, backlog_length(self._closing))
+            self._accept_closing_batch()
+
+    @property
+    def closing(self) -> bool:
+        """Whether the listener is being closed, so that capacity does not count."""
+        return self._closing is not None
+
+    def _accept_closing_batch(self) -> None:
+        """Accept a batch of the backlog, and close the listener after the last one."""
+        listener = self._closing
+        if listener is None:
+            return
+        batch_end = monotonic() + CLOSING_BATCH_S
+        while self._left_on_close > 0 and monotonic() < batch_end:
+            self._left_on_close = self._left_on_close - 1 if self._accept_one(listener) else 0
+        if self._left_on_close > 0:
+            self._loop.call_soon(self._accept_closing_batch)
             return
-        self._accept_all(self._listener)
-        listener = self._detach()
-        if listener is not None:
-            listener.close()
+        self._closing = None
+        listener.close()
 
     def _detach(self) -> socket.socket | None:
         """Stop watching the listener and return it; None if there is none."""
@@ -158,12 +185,6 @@
                 break
         self._last_batch_end = monotonic()
 
-    def _accept_all(self, listener: socket.socket) -> None:
-        """Accept all connections in the backlog without checking the capacity."""
-        for _ in range(MAX_ACCEPTS_ON_CLOSE):
-            if not self._accept_one(listener):
-                break
-
     def _accept_one(self, listener: socket.socket) -> bool:
         """Accept and set up one connection; return False if the batch has to end."""
         try:
--- a/quillroad/overload/socket_age.py
+++ b/quillroad/overload/socket_age.py
@@ -11,6 +11,8 @@
 # struct tcp_info of Linux's tcp.h: eight single bytes, of which the first is `tcpi_state`, followed
 # by 32-bit fields, of which the twelfth is `tcpi_last_data_recv` (milliseconds). Offsets in bytes.
 STATE_OFFSET = 0
+UNACKED_OFFSET = 24  # `tcpi_unacked`: of a listening socket, the length of its accept queue
+UNKNOWN_BACKLOG = 1 << 16
 LAST_DATA_RECV_OFFSET = 52
 LAST_DATA_RECV_END = 56
 # TCP states of the same header. CLOSE: the peer has reset the connection. CLOSE_WAIT: the peer has
@@ -48,6 +50,18 @@
         return 0.0
 
 
+def backlog_length(listener: Socket) -> int:
+    """Return how many connections wait to be accepted (`TCP_INFO` of a listening socket).
+
+    A large number if the system does not provide it.
+    """
+    try:
+        info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_END)
+        return int(_UINT32.unpack_from(info, UNACKED_OFFSET)[0])
+    except (OSError, AttributeError, struct.error):
+        return UNKNOWN_BACKLOG
+
+
 def has_ended(sock: Socket) -> bool:
     """Return whether the peer has closed or reset this connection (`TCP_INFO`, tcp(7)).
 
--- a/quillroad/upgrade/gateway_control.py
+++ b/quillroad/upgrade/gateway_control.py
@@ -27,11 +27,12 @@
 def spare_descriptors(gateway: Gateway, open_requests: int) -> int:
     """Return how many descriptors the requests of this process will not need; may be negative.
 
-    Each request is left two: one for a connection to a host, and one for a retry. A request of
-    which a part has been received counts too, since only this process can serve it.
+    Each request is left two: one for a connection to a host, and one for a retry. A request that is
+    queued, or of which a part has been received, counts too: only this process can serve it.
     """
-    receiving = gateway.server.connection_limit.count(ConnectionState.RECEIVING)
-    return gateway.descriptors.spare() - 2 * (open_requests + receiving)
+    not_begun = gateway.server.connection_limit.count(ConnectionState.RECEIVING)
+    not_begun += gateway.server.admission.waiting
+    return gateway.descriptors.spare() - 2 * (open_requests + not_begun)
 
 
 async def answer_and_stop(gateway: Gateway, must_close: Callable[[], bool]) -> None:
--- a/quillroad/upgrade/worker_process.py
+++ b/quillroad/upgrade/worker_process.py
@@ -329,12 +329,9 @@
             self._send_to_sibling(Connections(batch, request_counts), descriptors)
 
     def _on_engine_change(self, urgent: bool) -> None:
-        if not urgent:
-            self._update_sibling_soon()
-            return
-        if self._sibling_update_timer is not None:
-            self._sibling_update_timer.cancel()
-        self._update_sibling()
+        if urgent:
+            self._report_attempts()
+        self._update_sibling_soon()
 
     def _update_sibling_soon(self) -> None:
         if self._sibling_update_timer is None:
@@ -342,14 +339,18 @@
                 SIBLING_UPDATE_INTERVAL_S, self._update_sibling
             )
 
+    def _report_attempts(self) -> None:
+        """Report attempts in flight and open requests to the sibling."""
+        self.engine.set_slow_start_owner(self._owns_slow_start())
+        if (report := self.engine.attempts_in_flight()) is not None:
+            self._send_to_sibling(report)
+
     def _update_sibling(self) -> None:
         """Report attempts in flight to the sibling, and lend it descriptors not needed here."""
         self._sibling_update_timer = None
         if self._sibling is None:
             return
-        self.engine.set_slow_start_owner(self._owns_slow_start())
-        if (report := self.engine.attempts_in_flight()) is not None:
-            self._send_to_sibling(report)
+        self._report_attempts()
         if self._state.yielded:
             while self.gateway.upstream.drop_oldest_idle():
                 # An idle connection to a host; once it is closed, its descriptor is lent.
--- a/testbed/__main__.py
+++ b/testbed/__main__.py
@@ -1,4 +1,6 @@
-"""`python -m testbed hosts|load|flood|ration|relay|soak JSON`: stand-ins and load as processes.
+"""`python -m testbed PART JSON`: stand-ins and load as processes.
+
+PART is one of hosts, load, flood, ration, relay, soak and flood-soak.
 
 `hosts` starts stand-in hosts and a discovery, prints one JSON line with their ports, and serves
 until its standard input ends; then it prints how many requests each host received. `load` sends
@@ -6,7 +8,8 @@
 (`floods.py`) and prints what its clients did. `core` pins the process. `ration`
 prints a line, and holds a process to a part of its core from then on. `relay` carries gateways'
 datagrams. `soak` runs a gateway between hosts with faults for `seconds`, with draws by `seed`,
-prints the account as one JSON line, and ends with 1 where a rule was broken.
+prints the account as one JSON line, and ends with 1 where a rule was broken. `flood-soak` makes a
+run for each of `seeds` (`flood_soak.py`), prints a JSON line for each, and ends the same way.
 """
 
 from __future__ import annotations
@@ -27,6 +30,7 @@
 from testbed import schedule
 from testbed.account import Record, RequestClass, count_outcomes
 from testbed.clients import Load
+from testbed.flood_soak import flood_soak
 from testbed.floods import Flood, FloodKind
 from testbed.hosts import Discovery, Host
 from testbed.ration import ration
@@ -106,6 +110,17 @@
     return 1 if result.violations or result.outcomes.unanswered else 0
 
 
+async def run_flood_soak(options: dict[str, Any]) -> int:
+    """Run flood soaks, one for each of `seeds`, and print their accounts; returns the status."""
+    status = 0
+    for seed in options["seeds"]:
+        with tempfile.TemporaryDirectory() as folder:
+            (result,) = await flood_soak(Path(folder), [seed])
+        print(json.dumps(result.report()), flush=True)
+        status |= bool(result.violations)
+    return status
+
+
 def _report(load: Load, request_classes: Sequence[RequestClass]) -> dict[str, Any]:
     """The account of a load as one JSON object; durations in seconds."""
     rows = {
@@ -147,6 +162,8 @@
         return 0
     if sys.argv[1] == "soak":
         return uvloop.run(run_soak(options))
+    if sys.argv[1] == "flood-soak":
+        return uvloop.run(run_flood_soak(options))
     parts = {"hosts": run_hosts, "load": run_load, "flood": run_flood, "relay": run_relay}
     uvloop.run(parts[sys.argv[1]](options))
     return 0
--- a/testbed/account.py
+++ b/testbed/account.py
@@ -48,6 +48,7 @@
     done: float = 0.0  # last byte of the answer; 0: none came
     status: int = 0  # 0: no answer
     retry_after: float = 0.0
+    refused: bool = False  # its connection was not accepted: nobody has taken the request
     answered_for: str | None = None  # the request that the body of a 200 names; None: not read
 
     @property
--- a/testbed/clients.py
+++ b/testbed/clients.py
@@ -211,6 +211,7 @@
             self.refused_connects += 1
             if made is not None:
                 made[0].sent = made[0].sent or began
+                made[0].refused = True
             return
         self._connections.add(connection)
         if made is not None and connection.transport is not None:
--- a/tests/overload/test_acceptor.py
+++ b/tests/overload/test_acceptor.py
@@ -195,3 +195,37 @@
 
 def test_accepts_on_close_cover_the_whole_backlog() -> None:
     assert acceptor.MAX_ACCEPTS_ON_CLOSE >= acceptor.BACKLOG
+
+
+@on_loop
+async def test_clients_that_connect_again_and_again_do_not_hold_up_a_close() -> None:
+    """Each accepted connection closes another one, whose client connects again: the loop accepted
+    thousands of connections in one iteration, and answered nobody meanwhile.
+    """
+    loop = asyncio.get_running_loop()
+    clients: list[socket.socket] = []
+    taken: list[socket.socket] = []
+    queued = 40
+
+    def connect() -> None:
+        clients.append(socket.create_connection(address))
+
+    def take(sock: socket.socket) -> None:
+        taken.append(sock)
+        time.sleep(0.002)
+        connect()
+
+    queue: Acceptor[asyncio.Protocol] = Acceptor(loop, take, lambda: False, lambda _: None)
+    listener = open_listener("127.0.0.1", 0)
+    address = listener.getsockname()
+    for _ in range(queued):
+        connect()
+    queue.listen(listener)
+    began = time.monotonic()
+    queue.close()
+    assert time.monotonic() - began < 0.050
+    assert queue.closing and len(taken) < queued
+    await until(lambda: not queue.closing)
+    assert len(taken) == queued  # those that were queued, and none that came later
+    for sock in clients + taken:
+        sock.close()
