--- a/quillroad/downstream/connection.py
+++ b/quillroad/downstream/connection.py
@@ -15,7 +15,12 @@
 from typing import TYPE_CHECKING, cast
 
 from quillroad.downstream.connection_migration import MigratableConnection
-from quillroad.downstream.request_parser import FREE_INPUT_BYTES, TURN_WORK, PendingRequest
+from quillroad.downstream.request_parser import (
+    FREE_INPUT_BYTES,
+    READ_BYTES,
+    TURN_WORK,
+    PendingRequest,
+)
 from quillroad.downstream.responses import CONTINUE
 from quillroad.downstream.state import (
     ANSWER_AFTER,
@@ -114,14 +119,16 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the next bytes of the client are read into."""
-        return self._server.read_buffer.view(self._parser.read_bytes())
+        server = self._server
+        memory = server.memory
+        parser = self._parser
+        if parser.state is ReadState.BODY and (body_left := parser.body_left()) > READ_BYTES:
+            return server.long_read_buffer[:body_left]
+        return server.short_read_buffer if 2 * memory.used > memory.limit else server.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Handle bytes that were read into the buffer."""
-        self.data_received(self._server.read_buffer.received(nbytes))
-
-    def data_received(self, data: bytes) -> None:
         """Parse bytes from the client, or queue or reject their request without parsing."""
+        data = self._server.long_read_buffer[:nbytes].tobytes()
         parser = self._parser
         if parser.state is ReadState.ENDED:
             self._discard(len(data))
@@ -229,7 +236,8 @@
         paused = bool(parser.unparsed)
         if paused != self.reading_paused:
             self._pause_reading(paused)
-        self._reserve_input(len(parser.unparsed) - FREE_INPUT_BYTES)
+        if paused or self._input_reserved:
+            self._reserve_input(len(parser.unparsed) - FREE_INPUT_BYTES)
         if paused and parser.can_parse():
             self._server.input_scheduler.add(self)
 
@@ -309,7 +317,8 @@
         if rejected:
             self._reject()
             return
-        if self._server.engine.is_open_at_sibling(request):
+        sibling_ids = self._server.engine.sibling_request_ids
+        if sibling_ids and request.id in sibling_ids:
             self._server.loop.call_later(SIBLING_END_S, self._accept, request)
         else:
             self._accept(request)
--- a/quillroad/downstream/request_parser.py
+++ b/quillroad/downstream/request_parser.py
@@ -123,11 +123,12 @@
         self._slice_bytes = MIN_SLICE_BYTES
         self.continue_sent = False
 
-    def read_bytes(self) -> int:
-        """Return how many bytes to read from the connection at a time."""
-        if self.state is ReadState.BODY and self._body_length - self.size >= LONG_BODY_READ_BYTES:
-            return LONG_BODY_READ_BYTES
-        return SHORT_READ_BYTES if 2 * self._memory.used > self._memory.limit else READ_BYTES
+    def body_left(self) -> int:
+        """Return how many bytes of the body are left to receive; negative if its length is unknown.
+
+        Only meaningful in state BODY.
+        """
+        return self._body_length - self.size
 
     def can_parse(self) -> bool:
         """Whether unparsed input is left that `feed` would parse."""
@@ -161,6 +162,8 @@
     def _feed_slice(self, parser: httptools.HttpRequestParser) -> None:
         """Parse the next slice of the received data."""
         step = self._slice_bytes
+        if self.state is ReadState.BODY:  # the rest of a body of known length is a single callback
+            step = max(step, self._body_length - self.size)
         if not self.parsed and len(self.unparsed) <= step:
             data = self.unparsed
             self.unparsed = b""
--- a/quillroad/downstream/server.py
+++ b/quillroad/downstream/server.py
@@ -13,7 +13,7 @@
 from quillroad.downstream.connection_limit import MIN_SILENT_S, ConnectionLimit, ConnectionState
 from quillroad.downstream.early_rejection import EarlyRejection, Rejections
 from quillroad.downstream.input_scheduler import InputScheduler
-from quillroad.downstream.request_parser import LONG_BODY_READ_BYTES
+from quillroad.downstream.request_parser import LONG_BODY_READ_BYTES, READ_BYTES, SHORT_READ_BYTES
 from quillroad.downstream.request_scheduler import CAPACITY_RECHECK_S, RequestScheduler
 from quillroad.downstream.request_validation import RequestValidator
 from quillroad.engine.engine import Engine
@@ -74,7 +74,10 @@
         self.streams = 0
         self.on_end: Callable[[int, int], None] | None = None
         self.memory = memory
-        self.read_buffer = ReadBuffer(LONG_BODY_READ_BYTES)
+        buffer = ReadBuffer(LONG_BODY_READ_BYTES)
+        self.long_read_buffer = buffer.whole
+        self.read_buffer = buffer.part(READ_BYTES)
+        self.short_read_buffer = buffer.part(SHORT_READ_BYTES)
         self.input_scheduler = InputScheduler(loop)
         self.validator = RequestValidator(config)
         self.retry_after_us = _retry_after_us(config)
--- a/quillroad/engine/abandoned_ids.py
+++ b/quillroad/engine/abandoned_ids.py
@@ -24,36 +24,36 @@
 class AbandonedIds:
     """A bounded set of ids that forgets each after `HOLD_S`, and the oldest beyond `MAX_IDS`.
 
-    Times are seconds of the monotonic clock.
+    Times are seconds of the monotonic clock. `forget_at` has the ids, the oldest first.
     """
 
     def __init__(self) -> None:
-        self._forget_at: dict[str, float] = {}  # by id, the oldest first
+        self.forget_at: dict[str, float] = {}
 
     def __len__(self) -> int:
-        return len(self._forget_at)
+        return len(self.forget_at)
 
     def remember(self, request_id: str, now: float) -> None:
         """Remember an id from now on, also if it is remembered already."""
         key = _table_key(request_id)
-        self._forget_at.pop(key, None)
-        self._forget_at[key] = now + HOLD_S
-        while len(self._forget_at) > MAX_IDS:
-            del self._forget_at[next(iter(self._forget_at))]
+        self.forget_at.pop(key, None)
+        self.forget_at[key] = now + HOLD_S
+        while len(self.forget_at) > MAX_IDS:
+            del self.forget_at[next(iter(self.forget_at))]
 
     def contains(self, request_id: str, now: float) -> bool:
         """Return whether an id is remembered."""
         self._forget(now)
-        return bool(self._forget_at) and _table_key(request_id) in self._forget_at
+        return bool(self.forget_at) and _table_key(request_id) in self.forget_at
 
     def ids(self, now: float) -> list[str]:
         """Return all ids that are remembered, long ones as their digests."""
         self._forget(now)
-        return list(self._forget_at)
+        return list(self.forget_at)
 
     def _forget(self, now: float) -> None:
-        while self._forget_at:
-            oldest = next(iter(self._forget_at))
-            if self._forget_at[oldest] > now:
+        while self.forget_at:
+            oldest = next(iter(self.forget_at))
+            if self.forget_at[oldest] > now:
                 return
-            del self._forget_at[oldest]
+            del self.forget_at[oldest]
--- a/quillroad/engine/engine.py
+++ b/quillroad/engine/engine.py
@@ -214,7 +214,8 @@
             return
         # The first event after a stall may be any, such as an answer. Without this, all attempts
         # would be overdue by the time of the stall, before the answers to them were read.
-        self._loop_monitor.stalled()
+        if monotonic() - self._loop_lag.last_tick > CLIENT_CHECK_LAG_S:
+            self._loop_monitor.stalled()
         self._processing_events = True
         try:
             while self._events:
--- a/quillroad/engine/request_table.py
+++ b/quillroad/engine/request_table.py
@@ -28,6 +28,7 @@
         self._open: dict[int, OpenRequest] = {}  # by number
         self._unanswered_ids: set[str] = set()  # request ids
         self.abandoned_ids = AbandonedIds()
+        self.sibling_request_ids: set[str] = set()  # open at another process of this gateway
 
     def is_unanswered(self, request_id: str) -> bool:
         """Return whether a request with this id is unanswered."""
@@ -39,13 +40,11 @@
         It is unanswered, or has an effect and was abandoned by its client lately.
         """
         return request.id in self._unanswered_ids or (
-            has_effect(request) and self.abandoned_ids.contains(request.id, monotonic())
+            bool(self.abandoned_ids.forget_at)
+            and has_effect(request)
+            and self.abandoned_ids.contains(request.id, monotonic())
         )
 
-    def is_open_at_sibling(self, request: ClientRequest) -> bool:
-        """Return whether another process of this gateway has reported a request with this id."""
-        return False
-
     @property
     def unanswered(self) -> int:
         """Number of unanswered requests."""
--- a/quillroad/overload/event_loop_lag.py
+++ b/quillroad/overload/event_loop_lag.py
@@ -46,13 +46,11 @@
 
     def tick(self, now: float) -> None:
         """Record that the loop ran the tick timer."""
-        self._record_lag(now)
         self._tick_was_late = now - self.last_tick > LATE_S
+        if self._tick_was_late:
+            self._lag_s += self._current_lag_s(now)
         self.last_tick = now
 
-    def _record_lag(self, now: float) -> None:
-        self._lag_s += self._current_lag_s(now)
-
     def _current_lag_s(self, now: float) -> float:
         since_tick_s = now - self.last_tick
         return since_tick_s - TICK_S if self._ticking and since_tick_s > LATE_S else 0.0
@@ -81,7 +79,7 @@
 
     def caught_up(self, now: float) -> None:
         """End the stall, after all sockets have been read."""
-        self._record_lag(now)
+        self._lag_s += self._current_lag_s(now)
         self.catching_up = False
         self._tick_was_late = True
         self.last_tick = now
--- a/quillroad/overload/memory_account.py
+++ b/quillroad/overload/memory_account.py
@@ -23,9 +23,11 @@
 
     def take(self, size: int) -> bool:
         """Reserve `size` bytes; return False if they exceed the budget."""
-        if self.used + size > self.limit:
+        used = self.used + size
+        if used > self.limit:
             return False
-        self.force(size)
+        self.used = used
+        self.peak = max(self.peak, used)
         return True
 
     def force(self, size: int) -> None:
--- a/quillroad/overload/read_buffer.py
+++ b/quillroad/overload/read_buffer.py
@@ -11,12 +11,8 @@
     """
 
     def __init__(self, size: int) -> None:
-        self._view = memoryview(bytearray(size))
+        self.whole = memoryview(bytearray(size))
 
-    def view(self, size: int) -> memoryview:
+    def part(self, size: int) -> memoryview:
         """Return a part of the buffer to read up to `size` bytes into."""
-        return self._view[:size]
-
-    def received(self, size: int) -> bytes:
-        """Return a copy of the first `size` bytes."""
-        return self._view[:size].tobytes()
+        return self.whole[:size]
--- a/quillroad/upgrade/sibling_engine.py
+++ b/quillroad/upgrade/sibling_engine.py
@@ -38,7 +38,6 @@
     ) -> None:
         super().__init__(loop, balancer, upstream)
         self.counts = RequestCounts()
-        self.sibling_request_ids: set[str] = set()  # requests open at the sibling
         self.on_change: Callable[[bool], None] | None = None
         self._lost_ids = AbandonedIds()  # requests that were open at a sibling when it ended
         self._reported_attempts: dict[int, tuple[int, int]] = {}
@@ -69,10 +68,6 @@
         """Return whether a request with this id waits for its answer, here or at the sibling."""
         return super().is_unanswered(request_id) or request_id in self.sibling_request_ids
 
-    def is_open_at_sibling(self, request: ClientRequest) -> bool:
-        """Return whether the sibling has reported a request with this id, which has an effect."""
-        return has_effect(request) and request.id in self.sibling_request_ids
-
     def is_repeated(self, request: ClientRequest) -> bool:
         """Return whether a request may be at work at a host, so that it must not be sent again.
 
@@ -81,7 +76,7 @@
         """
         if super().is_repeated(request):
             return True
-        if self.is_open_at_sibling(request):
+        if has_effect(request) and request.id in self.sibling_request_ids:
             return True
         is_unsafe = request.idempotency is Idempotency.NON_IDEMPOTENT
         return is_unsafe and self._lost_ids.contains(request.id, monotonic())
--- a/quillroad/upstream/connection.py
+++ b/quillroad/upstream/connection.py
@@ -20,7 +20,6 @@
 from quillroad.overload.event_loop_monitor import EventLoopMonitor
 from quillroad.overload.heap import fix_mmap_threshold
 from quillroad.overload.memory_account import MemoryAccount
-from quillroad.overload.read_buffer import ReadBuffer
 from quillroad.overload.socket_age import data_age
 from quillroad.upstream.attempt import Attempt
 from quillroad.upstream.connection_state import (
@@ -62,7 +61,7 @@
     connect_timeout_s: float
     max_body_bytes: int
     memory: MemoryAccount
-    read_buffer: ReadBuffer
+    read_buffer: memoryview
     requests_written: int
     streaming: set[HostConnection]
 
@@ -198,12 +197,12 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Callback of the transport: return the buffer that the next bytes are read into."""
-        return self._owner.read_buffer.view(READ_BYTES)
+        return self._owner.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Callback of the transport: bytes were read into the buffer."""
         work_before = self._response.work
-        self.data_received(self._owner.read_buffer.received(nbytes))
+        self.data_received(self._owner.read_buffer[:nbytes].tobytes())
         if self._response.work - work_before > TURN_WORK:
             self._throttle()
 
@@ -244,7 +243,9 @@
             self._on_answer_complete(attempt, received_at)
         elif response.error is not None:
             self._fail_unreadable_answer()
-        elif response.is_long() or not self._reserve_answer():
+        elif response.is_long() or (
+            len(response.body) > FREE_ANSWER_BYTES and not self._reserve_answer()
+        ):
             self._start_stream(attempt, received_at)
         elif response.is_partial():
             self._limit_wait_for_rest(attempt, received_at)
@@ -312,7 +313,8 @@
         self.state = _AFTER_ANSWER_COMPLETE[self.state]
         self._release_or_drop()
         attempt.finish(outcome, answer, received_at)
-        self._release_memory()
+        if self._reserved:
+            self._release_memory()
 
     def _release_or_drop(self) -> None:
         """After a complete answer, return the connection to the pool, or close it.
--- a/quillroad/upstream/pool.py
+++ b/quillroad/upstream/pool.py
@@ -73,7 +73,7 @@
         self.connect_timeout_s = connect_timeout_s
         self.max_body_bytes = max_body_bytes
         self.memory = memory or MemoryAccount(MAX_PEER_MEMORY_BYTES)
-        self.read_buffer = ReadBuffer(READ_BYTES)
+        self.read_buffer = ReadBuffer(READ_BYTES).whole
         self.streaming: set[HostConnection] = set()  # connections that stream long answers
         self.connects = 0  # connects started since the start of the process
         self.failed_connects = 0  # since the start of the process
