An upgrade's first process returns its free memory; the account is six tenths of the rest

Cause: the heap of the first one stayed resident after its floods, and the account was reckoned with a quarter of the rest for that. The heap is trimmed when a second process appears, and the account is 0.6 of the rest.

--- a/quillroad/config/platform.py
+++ b/quillroad/config/platform.py
@@ -31,7 +31,7 @@
     14 * 1024
 )  # of a descriptor: its objects, and what is not accounted for
 # Part of the rest that is accounted for; the allocator needs the others for what it cannot reuse.
-ACCOUNTED_FRACTION = 0.75
+ACCOUNTED_FRACTION = 0.6
 MIN_PEER_MEMORY_BYTES = 1024 * 1024
 DEFAULT_MEMORY_MB = 192
 DEFAULT_NAME = "gateway"
--- a/quillroad/overload/heap.py
+++ b/quillroad/overload/heap.py
@@ -1,4 +1,4 @@
-"""Makes the C library return the memory of long bodies to the system when they are freed."""
+"""Makes the C library return memory to the system when it is freed."""
 
 from __future__ import annotations
 
@@ -29,3 +29,14 @@
         log.info(
             "mallopt is not available: memory of long bodies may not be returned to the system"
         )
+
+
+def return_free_memory() -> None:
+    """Return all free memory of the heap to the system, which takes some milliseconds.
+
+    The heap shrinks by itself only from its end: after a peak, most of it stays resident.
+    """
+    try:
+        ctypes.CDLL(None).malloc_trim(0)
+    except (OSError, AttributeError):
+        log.info("malloc_trim is not available: free memory may not be returned to the system")
--- a/quillroad/upgrade/worker_process.py
+++ b/quillroad/upgrade/worker_process.py
@@ -17,6 +17,7 @@
 
 from quillroad.config import RESERVED, Config
 from quillroad.gateway import Gateway
+from quillroad.overload.heap import return_free_memory
 from quillroad.upgrade.channel import Channel, close_all
 from quillroad.upgrade.gateway_control import (
     answer_and_stop,
@@ -162,6 +163,8 @@
         """Use half of the memory for what peers make the process hold while there is a sibling."""
         if self._gateway is not None:
             processes = 1 if self._sibling is None else 2
+            if processes > 1:
+                return_free_memory()  # the sibling needs it
             self._gateway.memory.limit = self._gateway.config.peer_memory_bytes // processes
 
     def _send_to_sibling(self, message: Message, descriptors: Sequence[int] = ()) -> None:
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -13,6 +13,7 @@
 from quillroad.balancing.platform_settings import read_settings
 from quillroad.balancing.settings import DeduplicationScope, Idempotency, Route, Settings
 from quillroad.config import changed_fields
+from quillroad.config.platform import CONNECTION_ALLOWANCE_BYTES, PROCESS_MB
 from tests.balancing.helpers import BalancerDriver, route, settings
 from tests.net import make_config
 
@@ -127,3 +128,13 @@
         peer_memory_bytes=before.peer_memory_bytes - 1,
     )
     assert changed_fields(before, after) == ["sockets", "kinds", "buffers"]
+
+
+@pytest.mark.parametrize("memory_mb", [96, 192])
+@pytest.mark.parametrize("sockets", [512, 1024])
+def test_all_memory_together_stays_under_the_limit(memory_mb: int, sockets: int) -> None:
+    """Two processes during an upgrade, the allowance of all descriptors, and the account."""
+    limits = {"memory_mb": memory_mb, "sockets": sockets}
+    config = make_config(1, limits=limits, admin_addr="127.0.0.1:0")
+    fixed = 2 * PROCESS_MB * 2**20 + sockets * CONNECTION_ALLOWANCE_BYTES
+    assert 5 * 2**20 < config.peer_memory_bytes <= 0.6 * (memory_mb * 2**20 - fixed)
